--- a/src/bin/poppymoor-drill.rs
+++ b/src/bin/rookspoke-simhost.rs
@@ -7,12 +7,12 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use poppymoor::api::{Action, Event, ListScope, Listing, Time};
-use poppymoor::wire::{
+use rookspoke::api::{Action, Event, ListScope, Listing, Time};
+use rookspoke::wire::{
     encode_action, encode_fault, encode_instance, parse_line, parse_listing, parse_settings, Line,
     Vocabulary, WireError,
 };
-use poppymoor::Dispatcher;
+use rookspoke::Dispatcher;
 
 /// Numbered lists go from 0 to this.
 const LAST_SHEET: usize = 15;
@@ -141,7 +141,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("poppymoor-drill: {message}");
+            eprintln!("rookspoke-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/channel/mod.rs
@@ -0,0 +1,456 @@
+//! The client-side plug-in: a `tower` service of HTTP requests, for an RPC client to use in process. Beneath
+//! it are the resolver and a subchannel for each log worker.
+
+mod connection;
+mod lines;
+mod report;
+pub mod resolver;
+mod subchannel;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use futures_util::future::BoxFuture;
+use http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body::Body;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use thiserror::Error;
+use tokio::sync::{mpsc, watch, Semaphore};
+use tower::Service;
+
+use crate::api::{ClassId, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span};
+use crate::config::Config;
+use crate::dispatch::{
+    Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
+};
+use crate::wire::Vocabulary;
+use resolver::{Order, Resolver, ResolverResult, Update};
+use subchannel::{Call, Shared, Subchannel};
+
+/// The most that a body holds, on any side.
+pub const MAX_BODY: usize = 64 * 1024;
+const STATS: &str = "/stats";
+/// A request whose body takes longer than this to come is given up.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Connections to log workers, as a part of the descriptors: clients need as many, and a few are spare.
+const WORKER_PART: f64 = 0.45;
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Idle connections live for this part of the time that log workers leave them.
+const IDLE_PART: f64 = 0.5;
+/// A client told nothing else by the decisions is asked to keep away for this long.
+const COME_BACK: Span = Span(250_000);
+
+/// The headers of the platform's protocol.
+pub mod headers {
+    /// Names a request, anew for each try.
+    pub const ID: &str = "x-correlation-id";
+    /// The class.
+    pub const CLASS: &str = "x-service-class";
+    /// How long the client waits, in whole milliseconds.
+    pub const TIME_LEFT: &str = "x-time-left-ms";
+    /// Further figures of a request.
+    pub const FACTS: &str = "x-facts";
+    /// A log worker's load.
+    pub const LOAD: &str = "x-backend-load";
+    /// A log worker never looked at the request.
+    pub const UNPROCESSED: &str = "x-unprocessed";
+}
+
+type Notes = Arc<dyn Fn(RequestId, usize, Note) -> BoxFuture<'static, ()> + Send + Sync>;
+
+/// Takes requests and answers each once; clones share one core.
+#[derive(Clone)]
+pub struct Channel {
+    handle: Handle<Arc<Call>, Bytes>,
+    words: Arc<Vocabulary>,
+    clock: Clock,
+    ready: watch::Receiver<bool>,
+}
+
+/// What is wrong with a request, before anything of it was taken.
+#[derive(Debug, Error)]
+enum BadRequest {
+    #[error("only POST hands in a job")]
+    Method,
+    #[error("{0} is missing or makes no sense")]
+    Header(&'static str),
+    #[error("the body is longer than {MAX_BODY} bytes")]
+    TooLong,
+    #[error("the body did not come in time")]
+    TooSlow,
+    #[error("the body broke off")]
+    Broken,
+}
+
+impl BadRequest {
+    fn status(&self) -> StatusCode {
+        match self {
+            BadRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
+            BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            BadRequest::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            BadRequest::Header(_) | BadRequest::Broken => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+impl Channel {
+    /// Starts a channel's tasks on the current runtime. The returned future is the core's: it ends only when
+    /// every clone of the channel is gone, or by a fault.
+    pub fn start(
+        config: &Config,
+    ) -> (Self, impl Future<Output = Result<(), SettingsError>> + Send + 'static) {
+        let clock = Clock::start();
+        let sockets = config.limits.sockets;
+        let limits = Limits { queue: 4 * sockets, open_requests: sockets * 2 / 5 };
+        let (handle, core) = Core::new(limits);
+        let notes = handle.clone();
+        let shared = Arc::new(Shared {
+            clock,
+            words: config.words.clone(),
+            notes: Arc::new(move |request, attempt, note| {
+                let notes = notes.clone();
+                Box::pin(async move { notes.note(request, attempt, note).await })
+            }),
+            room: Arc::new(Semaphore::new((sockets as f64 * WORKER_PART) as usize)),
+            connect_timeout: millis(config.connect_timeout_ms),
+            max_idle: millis(config.conn_idle_ms * IDLE_PART),
+        });
+        let (orders, inbox) = mpsc::channel(4);
+        let (set_ready, ready) = watch::channel(false);
+        let fleet = Fleet { shared, subchannels: Arc::default() };
+        let transport = Subchannels { fleet: fleet.clone(), orders };
+        let (settings, seed) = (config.settings.clone(), config.seed);
+        let core = core.run(settings, seed, clock, transport);
+        tokio::spawn(fleet.clone().sweep());
+        tokio::spawn(discover(config, handle.clone(), fleet, inbox, set_ready));
+        (Channel { handle, words: Arc::new(config.words.clone()), clock, ready }, core)
+    }
+
+    /// Waits until there is a first list of log workers.
+    pub async fn ready(&self) {
+        // The sender lives as long as the channel's own tasks.
+        let _ = self.ready.clone().wait_for(|ready| *ready).await;
+    }
+
+    /// Whether there is a first list of log workers.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
+    /// The running totals.
+    pub fn counters(&self) -> &Arc<Counters> {
+        self.handle.counters()
+    }
+
+    async fn read<B>(&self, request: Request<B>) -> Result<Ask<Arc<Call>>, BadRequest>
+    where
+        B: Body,
+        B::Data: Buf,
+        B::Error: Into<tower::BoxError>,
+    {
+        let (parts, body) = request.into_parts();
+        if parts.method != Method::POST {
+            return Err(BadRequest::Method);
+        }
+        let text = |name: &'static str| {
+            let value = parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+            value.filter(|v| !v.is_empty()).ok_or(BadRequest::Header(name))
+        };
+        let mut path = parts.uri.path().split('/').filter(|part| !part.is_empty());
+        let first = path.next();
+        let class = text(headers::CLASS).ok().or(first).ok_or(BadRequest::Header(headers::CLASS))?;
+        let class = self.words.classes.iter().position(|c| c.as_ref() == class);
+        let class = ClassId(class.ok_or(BadRequest::Header(headers::CLASS))?);
+        let key = path.next_back().map(Name::from);
+        text(headers::ID)?;
+        let id = parts.headers[headers::ID].clone();
+        let left: u32 =
+            text(headers::TIME_LEFT)?.parse().map_err(|_| BadRequest::Header(headers::TIME_LEFT))?;
+        let facts = match text(headers::FACTS) {
+            Ok(facts) => Facts::read(facts)?,
+            Err(_) => Facts::default(),
+        };
+        let body = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await;
+        let body = body.map_err(|_| BadRequest::TooSlow)?;
+        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
+            true => BadRequest::TooLong,
+            false => BadRequest::Broken,
+        })?;
+        // The client's time counts from the request's last byte, which is here now.
+        let deadline = self.clock.now() + Span::from_ms(f64::from(left));
+        let mut headers = parts.headers;
+        remove_hop_by_hop(&mut headers);
+        let call = Call { method: parts.method, uri: parts.uri, headers, id, body: body.to_bytes() };
+        let Facts { slots, memory } = facts;
+        Ok(Ask { class, tenant: None, key, slots, memory, deadline, call: Arc::new(call) })
+    }
+}
+
+impl<B> Service<Request<B>> for Channel
+where
+    B: Body + Send + 'static,
+    B::Data: Buf + Send,
+    B::Error: Into<tower::BoxError>,
+{
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<B>) -> Self::Future {
+        let channel = self.clone();
+        Box::pin(async move {
+            Ok(match channel.read(request).await {
+                Ok(ask) => respond(channel.handle.ask(ask).await),
+                Err(bad) => {
+                    channel.counters().malformed.add();
+                    log::debug!("a request is turned down: {bad}");
+                    plain(bad.status(), bad.to_string())
+                }
+            })
+        })
+    }
+}
+
+/// A short answer of the channel's own.
+pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn respond(answer: Answer<Bytes>) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Served(result) => Response::new(Full::new(result)),
+        Answer::Refused { retry_after } => {
+            let seconds = retry_after.unwrap_or(COME_BACK).secs();
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
+            let seconds = HeaderValue::from_str(&seconds.to_string()).expect("a number is plain text");
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            response
+        }
+        Answer::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+    }
+}
+
+/// What `X-Facts` tells.
+#[derive(Debug, PartialEq)]
+struct Facts {
+    slots: f64,
+    memory: f64,
+}
+
+impl Default for Facts {
+    fn default() -> Self {
+        Facts { slots: 1.0, memory: 0.0 }
+    }
+}
+
+impl Facts {
+    fn read(text: &str) -> Result<Self, BadRequest> {
+        let mut facts = Facts::default();
+        for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+            let value = || {
+                let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
+                value.ok_or(BadRequest::Header(headers::FACTS))
+            };
+            match name.trim() {
+                "slots" | "cores_needed" => facts.slots = value()?,
+                "memory" | "ram_units" => facts.memory = value()?,
+                _ => {}
+            }
+        }
+        Ok(facts)
+    }
+}
+
+/// Takes out what speaks of one connection alone, and the length, which the connection to the log worker
+/// words itself.
+fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    named.iter().for_each(|name| drop(headers.remove(name.as_str())));
+    for name in [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::TRANSFER_ENCODING,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1000.0)
+}
+
+/// Every subchannel, by the name of its log worker.
+#[derive(Clone)]
+struct Fleet {
+    shared: Arc<Shared>,
+    subchannels: Arc<std::sync::Mutex<BTreeMap<Name, Subchannel>>>,
+}
+
+impl Fleet {
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, Subchannel>> {
+        self.subchannels.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn get(&self, name: &Name) -> Option<Subchannel> {
+        self.lock().get(name).cloned()
+    }
+
+    /// Takes a list or its changes. What is gone or draining is shut for new work from this moment on,
+    /// before the decisions hear of it.
+    fn apply(&self, scope: ListScope, update: &Update) {
+        let mut subchannels = self.lock();
+        if scope != ListScope::Changes {
+            let named: BTreeSet<&str> = update.targets.iter().map(|t| t.uid.as_str()).collect();
+            subchannels.retain(|name, subchannel| {
+                subchannel.set_ready(false);
+                named.contains(name.as_ref())
+            });
+        }
+        for target in &update.targets {
+            let listing = target.listing();
+            if listing.readiness == Readiness::Gone {
+                if let Some(gone) = subchannels.remove(&listing.worker) {
+                    gone.set_ready(false);
+                }
+                continue;
+            }
+            let name = listing.worker;
+            let new = || Subchannel::new(name.clone(), target.endpoint, self.shared.clone());
+            let epoch = listing.started.map_or(0, |t| t.0 as u64);
+            let ready = listing.readiness == Readiness::InService;
+            subchannels.entry(name.clone()).or_insert_with(new).update(target.endpoint, ready, epoch);
+        }
+    }
+
+    async fn sweep(self) {
+        let mut ticks = tokio::time::interval(SWEEP);
+        loop {
+            ticks.tick().await;
+            self.lock().values().for_each(Subchannel::sweep);
+        }
+    }
+}
+
+/// The core's transport over subchannels.
+struct Subchannels {
+    fleet: Fleet,
+    orders: mpsc::Sender<Order>,
+}
+
+impl Subchannels {
+    fn order(&self, order: Order) {
+        // A full queue already holds an order that will ask again.
+        let _ = self.orders.try_send(order);
+    }
+}
+
+impl Transport for Subchannels {
+    type Call = Arc<Call>;
+    type Reply = Bytes;
+
+    fn send(
+        &mut self,
+        attempt: CallAttempt<Arc<Call>>,
+    ) -> impl Future<Output = Ended<Bytes>> + Send + 'static {
+        let subchannel = self.fleet.get(&attempt.worker);
+        async move {
+            match subchannel {
+                Some(mut subchannel) => {
+                    let Ok(ended) = subchannel.call(attempt).await;
+                    ended
+                }
+                None => Outcome::NotSent.into(),
+            }
+        }
+    }
+
+    fn probe(&mut self, worker: Name) -> impl Future<Output = Probed> + Send + 'static {
+        let subchannel = self.fleet.get(&worker);
+        async move {
+            match subchannel {
+                Some(subchannel) => subchannel.probe().await,
+                None => Probed { outcome: Outcome::NotSent, load: None },
+            }
+        }
+    }
+
+    fn watch(&mut self) {
+        self.order(Order::Watch);
+    }
+
+    fn fetch_list(&mut self) {
+        self.order(Order::Fetch);
+    }
+
+    fn close_idle(&mut self, worker: &Name) {
+        if let Some(subchannel) = self.fleet.get(worker) {
+            subchannel.close_idle();
+        }
+    }
+}
+
+/// Feeds resolver results to subchannels and decisions. If discovery stays silent at the start, the list
+/// last known has to do.
+fn discover(
+    config: &Config,
+    handle: Handle<Arc<Call>, Bytes>,
+    fleet: Fleet,
+    orders: mpsc::Receiver<Order>,
+    ready: watch::Sender<bool>,
+) -> impl Future<Output = ()> + Send + 'static {
+    let known = config.known.clone();
+    let resolver = Resolver::new(config.discovery, known.as_ref().map(|k| k.rev));
+    let ready = Arc::new(ready);
+    async move {
+        if let Some(known) = known {
+            fleet.apply(ListScope::Remembered, &known);
+            let entries = known.targets.iter().map(|t| t.listing()).collect();
+            handle.list(ListScope::Remembered, entries).await;
+            let ready = ready.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(PATIENCE).await;
+                ready.send_replace(true);
+            });
+        }
+        let tell = |result| {
+            let (handle, fleet, ready) = (handle.clone(), fleet.clone(), ready.clone());
+            async move {
+                match result {
+                    ResolverResult::Update(scope, update) => {
+                        fleet.apply(scope, &update);
+                        let entries = update.targets.iter().map(|t| t.listing()).collect();
+                        handle.list(scope, entries).await;
+                        ready.send_replace(true);
+                    }
+                    ResolverResult::Failed => handle.list(ListScope::Failed, Arc::new([])).await,
+                }
+            }
+        };
+        resolver.run(orders, tell).await;
+    }
+}
+
+/// How long discovery may stay silent at the start before the list last known counts as the first.
+const PATIENCE: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/src/channel/resolver.rs
@@ -0,0 +1,224 @@
+//! Discovery: asks for the list of log workers and follows its changes.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Empty;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::lines::{LineError, Lines};
+use crate::api::{ListScope, Listing, Readiness, Time};
+
+const PATH: &str = "/registry/instances";
+/// An answer that takes longer counts as failed; discovery itself gives up on a call after 2 s.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// A watch brings at least an empty line every 2 s; one silent for longer is dead, whatever TCP says.
+const SILENCE: Duration = Duration::from_secs(4);
+
+/// What discovery says at once: the whole list, or what changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Update {
+    /// The version of the list.
+    pub rev: u64,
+    /// Whether it is the whole list.
+    pub all: bool,
+    /// The entries.
+    pub targets: Vec<Target>,
+}
+
+/// One log worker, as discovery describes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Target {
+    /// Its name, the same for every dispatcher.
+    pub uid: String,
+    /// Where this dispatcher reaches it.
+    pub endpoint: SocketAddr,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    pod_group: Option<u64>,
+    state: State,
+    capacity_hint: Option<f64>,
+    boot_ms: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Active,
+    Leaving,
+    Left,
+}
+
+impl Target {
+    /// The entry as the decisions know it.
+    pub fn listing(&self) -> Listing {
+        Listing {
+            worker: self.uid.as_str().into(),
+            kind: self.model.as_str().into(),
+            zone: self.az.as_str().into(),
+            cell: self.pod_group,
+            started: self.boot_ms.filter(|ms| ms.is_finite() && *ms > 0.0).map(Time::from_ms),
+            weight: self.capacity_hint.filter(|w| w.is_finite()).unwrap_or(1.0),
+            readiness: match self.state {
+                State::Active => Readiness::InService,
+                State::Leaving => Readiness::Draining,
+                State::Left => Readiness::Gone,
+            },
+        }
+    }
+}
+
+/// A resolver result: what a call or a watch brought.
+#[derive(Clone, Debug)]
+pub enum ResolverResult {
+    /// News of the list.
+    Update(ListScope, Arc<Update>),
+    /// The call failed or the watch broke.
+    Failed,
+}
+
+/// Why a call to discovery failed.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("status {0}")]
+    Status(u16),
+    #[error("silent for too long")]
+    Silent(#[from] tokio::time::error::Elapsed),
+    #[error("{0}")]
+    Line(#[from] LineError),
+    #[error("unreadable: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("the watch ended")]
+    Ended,
+}
+
+/// What a resolver is asked to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Follow the list; a watch that is on starts over.
+    Watch,
+    /// Read the whole list once.
+    Fetch,
+}
+
+/// Follows discovery at one address.
+pub struct Resolver {
+    address: SocketAddr,
+    /// The version held, from which a new watch goes on.
+    rev: Option<u64>,
+}
+
+impl Resolver {
+    /// A resolver that holds the list of version `rev`, if any.
+    pub fn new(address: SocketAddr, rev: Option<u64>) -> Self {
+        Resolver { address, rev }
+    }
+
+    /// Carries out orders until their sender is gone; each result goes to `tell`, in order.
+    pub async fn run<F, Fut>(mut self, mut orders: mpsc::Receiver<Order>, tell: F)
+    where
+        F: Fn(ResolverResult) -> Fut,
+        Fut: Future<Output = ()>,
+    {
+        let mut order = orders.recv().await;
+        while let Some(now) = order.take() {
+            let done = match now {
+                Order::Watch => {
+                    tokio::select! {
+                        done = self.watch(&tell) => done,
+                        // Asked again: the watch starts over, from the version held.
+                        next = orders.recv() => {
+                            order = next;
+                            continue;
+                        }
+                    }
+                }
+                Order::Fetch => self.fetch(&tell).await,
+            };
+            if let Err(error) = done {
+                log::info!("discovery: {error}");
+                tell(ResolverResult::Failed).await;
+            }
+            order = orders.recv().await;
+        }
+    }
+
+    async fn fetch<F, Fut>(&mut self, tell: &F) -> Result<(), CallError>
+    where
+        F: Fn(ResolverResult) -> Fut,
+        Fut: Future<Output = ()>,
+    {
+        let (_connection, lines) = timeout(CALL_TIMEOUT, call(self.address, PATH)).await??;
+        let line = timeout(CALL_TIMEOUT, lines.all()).await??;
+        self.pass_on(&line, tell).await
+    }
+
+    async fn watch<F, Fut>(&mut self, tell: &F) -> Result<(), CallError>
+    where
+        F: Fn(ResolverResult) -> Fut,
+        Fut: Future<Output = ()>,
+    {
+        let path = format!("{PATH}?watch=1&after={}", self.rev.unwrap_or(0));
+        let (_connection, mut lines) = timeout(CALL_TIMEOUT, call(self.address, &path)).await??;
+        loop {
+            let line = timeout(SILENCE, lines.next()).await??.ok_or(CallError::Ended)?;
+            if !line.iter().all(u8::is_ascii_whitespace) {
+                self.pass_on(&line, tell).await?;
+            }
+        }
+    }
+
+    async fn pass_on<F, Fut>(&mut self, line: &[u8], tell: &F) -> Result<(), CallError>
+    where
+        F: Fn(ResolverResult) -> Fut,
+        Fut: Future<Output = ()>,
+    {
+        let update: Update = serde_json::from_slice(line)?;
+        let scope = if update.all { ListScope::Complete } else { ListScope::Changes };
+        self.rev = Some(update.rev);
+        tell(ResolverResult::Update(scope, Arc::new(update))).await;
+        Ok(())
+    }
+}
+
+/// Ends a connection's task, and with it the connection.
+pub(super) struct ConnectionTask(pub tokio::task::JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn call(address: SocketAddr, path: &str) -> Result<(ConnectionTask, Lines<Incoming>), CallError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = ConnectionTask(tokio::spawn(async move {
+        let _ = connection.await;
+    }));
+    let request = Request::get(path).header(http::header::HOST, address.to_string());
+    let request = request.body(Empty::<Bytes>::new()).expect("a path and an address make a request");
+    let response = sender.send_request(request).await?;
+    match response.status().as_u16() {
+        200 => Ok((task, Lines::new(response.into_body()))),
+        status => Err(CallError::Status(status)),
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,191 @@
+//! What a dispatcher is told at its start: the environment and the configuration file.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::api::Settings;
+use crate::channel::resolver::Update;
+use crate::wire::{parse_settings, Vocabulary};
+
+/// A field that is missing or makes no sense.
+#[derive(Debug, Error)]
+#[error("{field}: {found}")]
+pub struct ConfigError {
+    field: String,
+    found: String,
+}
+
+impl ConfigError {
+    /// An error at `field`.
+    pub fn new(field: impl Into<String>, found: impl ToString) -> Self {
+        ConfigError { field: field.into(), found: found.to_string() }
+    }
+}
+
+/// What the dispatcher may use.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Resources {
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Resources { sockets: 1024 }
+    }
+}
+
+/// The whole configuration of a dispatcher.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What it may use.
+    pub limits: Resources,
+    /// The list as it last had it.
+    pub known: Option<Update>,
+    /// The settings of the decisions.
+    pub settings: Settings,
+    /// The names that requests and reports use.
+    pub words: Vocabulary,
+    /// How long an idle connection to a log worker stays open there.
+    pub conn_idle_ms: f64,
+    /// How long a connection may take to come up.
+    pub connect_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Resources,
+    known: Option<Value>,
+    settings: Option<Value>,
+}
+
+impl Config {
+    /// Reads what the environment and the file that it names say. The environment goes first.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = var("PROXY_CONFIG").ok_or_else(|| ConfigError::new("PROXY_CONFIG", "not set"))?;
+        let mut file = File::read(&PathBuf::from(path))?;
+        file.name = var("PROXY_NAME").or(file.name);
+        file.listen = var("PROXY_LISTEN").or(file.listen);
+        file.discovery = var("PROXY_DISCOVERY").or(file.discovery);
+        Self::new(file)
+    }
+
+    fn new(file: File) -> Result<Self, ConfigError> {
+        let missing = |field: &str| ConfigError::new(field, "missing");
+        let addr = |field: &str, text: Option<String>| {
+            let text = text.ok_or_else(|| missing(field))?;
+            text.parse::<SocketAddr>().map_err(|e| ConfigError::new(field, format!("{text:?}: {e}")))
+        };
+        let seed = file.seed.ok_or_else(|| missing("seed"))?;
+        let raw = file.settings.ok_or_else(|| missing("settings"))?;
+        let pairs = flatten(&raw);
+        let (settings, words) = parse_settings(pairs.iter().map(String::as_str))
+            .map_err(|e| ConfigError::new(format!("settings.{}", e.field), e.found))?;
+        let known = file.known.filter(|known| !known.is_null());
+        let known = known.map(|k| Update::deserialize(k).map_err(|e| ConfigError::new("known", e)));
+        let millis = |field: &str| {
+            let value = raw.pointer(&format!("/limits/{field}")).and_then(Value::as_f64);
+            let value = value.filter(|ms| ms.is_finite() && (1.0..1e9).contains(ms));
+            value.ok_or_else(|| ConfigError::new(format!("settings.limits.{field}"), "not a time in ms"))
+        };
+        if file.limits.sockets < 64 {
+            return Err(ConfigError::new("limits.sockets", "fewer than 64"));
+        }
+        Ok(Config {
+            name: file.name.unwrap_or_default(),
+            listen: addr("listen", file.listen)?,
+            discovery: addr("discovery", file.discovery)?,
+            seed: u64::from_str_radix(&seed, 16)
+                .map_err(|_| ConfigError::new("seed", format!("{seed:?}")))?,
+            limits: file.limits,
+            known: known.transpose()?,
+            settings,
+            words,
+            conn_idle_ms: millis("conn_idle_ms")?,
+            connect_timeout_ms: millis("connect_timeout_ms")?,
+        })
+    }
+}
+
+impl File {
+    fn read(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::new("PROXY_CONFIG", e))?;
+        serde_json::from_str(&text).map_err(|e| ConfigError::new("PROXY_CONFIG", e))
+    }
+}
+
+/// Nested settings as the simulator's pairs, so that one parser reads both.
+fn flatten(settings: &Value) -> Vec<String> {
+    let mut pairs = Vec::new();
+    push_pairs(&mut pairs, "", settings);
+    pairs
+}
+
+fn push_pairs(pairs: &mut Vec<String>, path: &str, value: &Value) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| push_pairs(pairs, &under(name), v)),
+        Value::Array(items) if items.iter().any(|v| v.is_object()) => {
+            pairs.push(format!("{}={}", under("count"), items.len()));
+            items.iter().enumerate().for_each(|(at, v)| push_pairs(pairs, &under(&at.to_string()), v));
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            pairs.push(format!("{path}={}", items.join(",")));
+        }
+        v => pairs.push(format!("{path}={}", plain(v))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.replace([' ', ',', '\t'], "_"),
+        v => v.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settings_are_flattened_as_the_simulator_writes_them() {
+        let nested = serde_json::json!({
+            "classes": [{"name": "a b", "gain": 2.0}], "localities": ["x", "y"], "projects": [],
+            "limits": {"cancel": true, "cap": 6}, "nothing": null,
+        });
+        let mut pairs = flatten(&nested);
+        pairs.sort();
+        let expected = [
+            "classes.0.gain=2.0",
+            "classes.0.name=a_b",
+            "classes.count=1",
+            "limits.cancel=true",
+            "limits.cap=6",
+            "localities=x,y",
+            "nothing=-",
+            "projects=",
+        ];
+        assert_eq!(pairs, expected);
+    }
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,188 @@
+//! The core: one task owns a [`Dispatcher`], hears of everything through a bounded queue, and carries out
+//! what the decisions ask for. It knows no wire; a front supplies the [`Transport`].
+
+mod clock;
+mod counters;
+mod ledger;
+mod task;
+
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+use tokio::sync::mpsc::{self, OwnedPermit};
+use tokio::sync::oneshot;
+
+pub use clock::Clock;
+pub use counters::{Counter, Counters};
+pub use task::{Core, Limits};
+
+use crate::api::{
+    ClassId, ListScope, Listing, LoadReport, Name, Note, Outcome, RequestId, Span, TenantId, Time,
+};
+
+/// What a front asks for: the part of a request that the decisions need, and what its transport carries.
+#[derive(Debug)]
+pub struct Ask<C> {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are any.
+    pub tenant: Option<TenantId>,
+    /// What it is about.
+    pub key: Option<Name>,
+    /// Slots it takes.
+    pub slots: f64,
+    /// Memory units it takes.
+    pub memory: f64,
+    /// When its client gives up.
+    pub deadline: Time,
+    /// What a call attempt carries; the core hands it on unread.
+    pub call: C,
+}
+
+/// The final answer to a request.
+#[derive(Debug, PartialEq)]
+pub enum Answer<R> {
+    /// A log worker served it.
+    Served(R),
+    /// The unavailable status: it never ran, or running it again does no harm.
+    Refused {
+        /// When to come back, where the decisions say.
+        retry_after: Option<Span>,
+    },
+    /// It failed, and may have run.
+    Failed,
+}
+
+/// One call attempt, as a transport gets it.
+#[derive(Debug)]
+pub struct CallAttempt<C> {
+    /// The request.
+    pub request: RequestId,
+    /// Which of its attempts, from 0.
+    pub attempt: usize,
+    /// The log worker.
+    pub worker: Name,
+    /// When to stop waiting.
+    pub deadline: Time,
+    /// What the request carries.
+    pub call: C,
+}
+
+/// How a call attempt ended.
+#[derive(Debug)]
+pub struct Ended<R> {
+    /// What the log worker gave, or why it gave nothing.
+    pub result: Result<R, Outcome>,
+    /// The log worker's load, if it came along.
+    pub load: Option<LoadReport>,
+}
+
+impl<R> From<Outcome> for Ended<R> {
+    fn from(outcome: Outcome) -> Self {
+        Ended { result: Err(outcome), load: None }
+    }
+}
+
+/// How a probe ended.
+#[derive(Debug)]
+pub struct Probed {
+    /// How.
+    pub outcome: Outcome,
+    /// The log worker's load, if it came along.
+    pub load: Option<LoadReport>,
+}
+
+/// What carries the decisions out. Its calls return at once; the futures do the work, and dropping one
+/// calls its attempt off.
+pub trait Transport: Send + 'static {
+    /// What a request carries to a log worker.
+    type Call: Clone + Send + 'static;
+    /// What a log worker gives for it.
+    type Reply: Send + 'static;
+
+    /// Starts a call attempt. The future checks again, when it comes to sending, that the log worker still
+    /// takes work.
+    fn send(
+        &mut self,
+        attempt: CallAttempt<Self::Call>,
+    ) -> impl Future<Output = Ended<Self::Reply>> + Send + 'static;
+    /// Starts a probe.
+    fn probe(&mut self, worker: Name) -> impl Future<Output = Probed> + Send + 'static;
+    /// Starts following the list of log workers, again if it is followed already.
+    fn watch(&mut self);
+    /// Asks for the whole list once.
+    fn fetch_list(&mut self);
+    /// Closes idle connections to a log worker.
+    fn close_idle(&mut self, worker: &Name);
+}
+
+/// What the task hears.
+#[derive(Debug)]
+enum Input<C, R> {
+    Ask(RequestId, Ask<C>, oneshot::Sender<Answer<R>>),
+    ClientGone(RequestId),
+    Note(RequestId, usize, Note),
+    List(ListScope, Arc<[Listing]>),
+}
+
+/// The way into a core's queue.
+#[derive(Debug)]
+pub struct Handle<C, R> {
+    queue: mpsc::Sender<Input<C, R>>,
+    next_id: Arc<AtomicU64>,
+    counters: Arc<Counters>,
+}
+
+impl<C, R> Clone for Handle<C, R> {
+    fn clone(&self) -> Self {
+        Handle { queue: self.queue.clone(), next_id: self.next_id.clone(), counters: self.counters.clone() }
+    }
+}
+
+/// Tells the core that the client is gone, unless its answer came first. The room in the queue for this is
+/// taken beforehand: a drop cannot wait for it.
+struct GoneGuard<C, R>(Option<(RequestId, OwnedPermit<Input<C, R>>)>);
+
+impl<C, R> Drop for GoneGuard<C, R> {
+    fn drop(&mut self) {
+        if let Some((id, room)) = self.0.take() {
+            room.send(Input::ClientGone(id));
+        }
+    }
+}
+
+impl<C: Send + 'static, R: Send + 'static> Handle<C, R> {
+    /// Hands in a request and waits for its final answer. Dropping the future means the client left.
+    pub async fn ask(&self, ask: Ask<C>) -> Answer<R> {
+        let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let (answer, answered) = oneshot::channel();
+        let rooms = (self.queue.clone().try_reserve_owned(), self.queue.clone().try_reserve_owned());
+        // The queue is full: nothing was taken and nothing ran, so this may be refused.
+        let (Ok(room), Ok(gone)) = rooms else {
+            self.counters.overload.add();
+            return Answer::Refused { retry_after: None };
+        };
+        room.send(Input::Ask(id, ask, answer));
+        let mut guard = GoneGuard(Some((id, gone)));
+        let answer = answered.await;
+        guard.0 = None;
+        // The core ended with the request in hand: nobody can tell whether it ran.
+        answer.unwrap_or(Answer::Failed)
+    }
+
+    /// Passes on news of a call attempt.
+    pub async fn note(&self, request: RequestId, attempt: usize, note: Note) {
+        let _ = self.queue.send(Input::Note(request, attempt, note)).await;
+    }
+
+    /// Passes on news of the list.
+    pub async fn list(&self, scope: ListScope, entries: Arc<[Listing]>) {
+        let _ = self.queue.send(Input::List(scope, entries)).await;
+    }
+
+    /// The running totals.
+    pub fn counters(&self) -> &Arc<Counters> {
+        &self.counters
+    }
+}
--- /dev/null
+++ b/src/dispatch/task.rs
@@ -0,0 +1,339 @@
+//! The task itself: batches events by the settings' quantum, feeds them to the decisions, acts on the replies.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
+
+use rustc_hash::FxHashMap;
+use tokio::sync::mpsc;
+use tokio::task::{Id, JoinError, JoinSet};
+
+use super::ledger::{Attempt, Ledger};
+use super::{Answer, CallAttempt, Clock, Counters, Ended, Handle, Input, Probed, Transport};
+use crate::api::{
+    Action, AttemptEnd, Event, LoadReport, Name, Outcome, Request, RequestId, Settings, SettingsError, Span,
+    Time,
+};
+use crate::Dispatcher;
+
+/// A request that the decisions left unanswered is failed this long after its deadline: the client still
+/// hears it in time. The settings' own slack is three times as long and more.
+const OVERDUE: Span = Span(5_000);
+
+/// What a core may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Messages waiting in the queue.
+    pub queue: usize,
+    /// Requests that are owed an answer.
+    pub open_requests: usize,
+}
+
+enum Job {
+    Attempt(RequestId, usize),
+    Probe(Name, Time),
+}
+
+enum Done<R> {
+    Attempt(Ended<R>),
+    Probe(Probed),
+}
+
+/// A queue whose task has not started yet.
+pub struct Core<C, R> {
+    inbox: mpsc::Receiver<Input<C, R>>,
+    counters: Arc<Counters>,
+    limits: Limits,
+}
+
+impl<C: Clone + Send + 'static, R: Send + 'static> Core<C, R> {
+    /// A queue and the way into it.
+    pub fn new(limits: Limits) -> (Handle<C, R>, Self) {
+        let (queue, inbox) = mpsc::channel(limits.queue);
+        let counters = Arc::new(Counters::default());
+        let handle = Handle { queue, next_id: Arc::new(AtomicU64::new(1)), counters: counters.clone() };
+        (handle, Core { inbox, counters, limits })
+    }
+
+    /// Runs the decisions until every handle is gone.
+    pub async fn run<T>(
+        self,
+        settings: Settings,
+        seed: u64,
+        clock: Clock,
+        transport: T,
+    ) -> Result<(), SettingsError>
+    where
+        T: Transport<Call = C, Reply = R>,
+    {
+        let task = Task {
+            quantum: settings.quantum,
+            max_attempts: settings.limits.max_attempts,
+            dispatcher: Dispatcher::new(settings, seed)?,
+            transport,
+            clock,
+            counters: self.counters,
+            limits: self.limits,
+            ledger: Ledger::default(),
+            events: VecDeque::new(),
+            over: Vec::new(),
+            timers: BTreeSet::new(),
+            jobs: FxHashMap::default(),
+            running: JoinSet::new(),
+            next_batch: Time(i64::MIN),
+        };
+        task.run(self.inbox).await;
+        Ok(())
+    }
+}
+
+struct Task<T: Transport> {
+    dispatcher: Dispatcher,
+    transport: T,
+    clock: Clock,
+    counters: Arc<Counters>,
+    limits: Limits,
+    quantum: Span,
+    max_attempts: usize,
+    ledger: Ledger<T::Call, T::Reply>,
+    /// What the next batch holds.
+    events: VecDeque<Event>,
+    /// Requests that may have ended altogether.
+    over: Vec<RequestId>,
+    timers: BTreeSet<(Time, u64)>,
+    jobs: FxHashMap<Id, Job>,
+    running: JoinSet<Done<T::Reply>>,
+    /// Batches come no more often than the quantum.
+    next_batch: Time,
+}
+
+impl<T: Transport> Task<T> {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Input<T::Call, T::Reply>>) {
+        loop {
+            let wake = self.clock.until(self.wake_at());
+            // The queue comes first: news of an attempt was sent before its end.
+            tokio::select! {
+                biased;
+                input = inbox.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                Some(done) = self.running.join_next_with_id() => self.end(done),
+                () = tokio::time::sleep(wake) => {}
+            }
+            while let Ok(input) = inbox.try_recv() {
+                self.take(input);
+            }
+            while let Some(done) = self.running.try_join_next_with_id() {
+                self.end(done);
+            }
+            let now = self.clock.now();
+            let due = self.timers.first().is_some_and(|t| t.0 <= now);
+            if now >= self.next_batch && (due || !self.events.is_empty()) {
+                self.batch(now);
+            }
+            self.fail_overdue();
+        }
+    }
+
+    fn wake_at(&self) -> Time {
+        let timer = self.timers.first().map(|t| t.0);
+        let batch = if self.events.is_empty() { timer } else { Some(self.next_batch) };
+        let batch = batch.map(|at| at.max(self.next_batch));
+        let overdue = self.ledger.next_deadline().map(|at| at + OVERDUE);
+        let idle = self.clock.now() + Span(1_000_000);
+        batch.into_iter().chain(overdue).fold(idle, Time::min)
+    }
+
+    fn take(&mut self, input: Input<T::Call, T::Reply>) {
+        match input {
+            Input::Ask(id, ask, answer) => {
+                if self.ledger.open_requests() >= self.limits.open_requests {
+                    // Never seen by the decisions, so it never ran.
+                    self.counters.overload.add();
+                    let _ = answer.send(Answer::Refused { retry_after: None });
+                    return;
+                }
+                self.counters.taken.add();
+                self.ledger.open(id, ask.call, ask.deadline, answer);
+                self.events.push_back(Event::Request(Request {
+                    id,
+                    class: ask.class,
+                    tenant: ask.tenant,
+                    key: ask.key,
+                    work: None,
+                    slots: ask.slots,
+                    memory: ask.memory,
+                    deadline: ask.deadline,
+                }));
+            }
+            Input::ClientGone(id) => {
+                if self.ledger.answer(id, None) {
+                    self.counters.client_gone.add();
+                    self.over.push(id);
+                    self.events.push_back(Event::ClientGone(id));
+                }
+            }
+            Input::Note(request, attempt, note) => {
+                let entry = self.ledger.get_mut(request);
+                let out = entry.and_then(|e| e.attempts.get(attempt)).is_some_and(|a| a.abort.is_some());
+                if out {
+                    self.events.push_back(Event::Note { request, attempt, note });
+                }
+            }
+            Input::List(scope, entries) => {
+                let failed = scope == crate::api::ListScope::Failed;
+                if failed { &self.counters.lists_failed } else { &self.counters.lists }.add();
+                self.events.push_back(Event::List { scope, entries });
+            }
+        }
+    }
+
+    /// A call attempt or a probe is over, by its own account, called off, or by a panic in the transport.
+    fn end(&mut self, done: Result<(Id, Done<T::Reply>), JoinError>) {
+        let id = done.as_ref().map_or_else(JoinError::id, |d| d.0);
+        let Some(job) = self.jobs.remove(&id) else { return };
+        let lost = match &done {
+            Err(e) if e.is_cancelled() => Outcome::Cancelled,
+            _ => Outcome::ConnectionLost,
+        };
+        match (job, done) {
+            (Job::Attempt(id, attempt), Ok((_, Done::Attempt(ended)))) => {
+                self.end_attempt(id, attempt, ended.result, ended.load)
+            }
+            (Job::Attempt(id, attempt), _) => self.end_attempt(id, attempt, Err(lost), None),
+            (Job::Probe(worker, sent), done) => {
+                let probed = match done {
+                    Ok((_, Done::Probe(probed))) => probed,
+                    _ => Probed { outcome: lost, load: None },
+                };
+                let latency = self.clock.now() - sent;
+                let Probed { outcome, load } = probed;
+                self.events.push_back(Event::Probed { worker, outcome, latency, load });
+            }
+        }
+    }
+
+    fn end_attempt(
+        &mut self,
+        request: RequestId,
+        attempt: usize,
+        result: Result<T::Reply, Outcome>,
+        load: Option<LoadReport>,
+    ) {
+        let Some(sent) = self.ledger.end_attempt(request, attempt) else { return };
+        let latency = self.clock.now() - sent;
+        let outcome = match result {
+            // The first answer goes to the client at once, past the decisions.
+            Ok(reply) => {
+                if self.ledger.answer(request, Some(Answer::Served(reply))) {
+                    self.counters.served.add();
+                }
+                Outcome::Served
+            }
+            Err(outcome) => outcome,
+        };
+        match outcome {
+            Outcome::Served => {}
+            Outcome::Cancelled => self.counters.cancelled.add(),
+            Outcome::NotSent => self.counters.not_sent.add(),
+            _ => self.counters.attempts_failed.add(),
+        }
+        let closed = self.ledger.get_mut(request).is_none_or(|e| e.answered());
+        self.over.push(request);
+        let end = AttemptEnd { request, attempt, outcome, latency, closed, load };
+        self.events.push_back(Event::Outcome(end));
+    }
+
+    fn batch(&mut self, now: Time) {
+        self.next_batch = now + self.quantum;
+        while let Some((at, token)) = self.timers.first().copied().filter(|t| t.0 <= now) {
+            self.timers.remove(&(at, token));
+            self.events.push_back(Event::Timer(token));
+        }
+        let mut actions = Vec::new();
+        let over = std::mem::take(&mut self.over);
+        // What the actions of this batch lead to belongs to the next one.
+        for event in std::mem::take(&mut self.events) {
+            self.dispatcher.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+        // Not before: until the decisions have heard of the end, they may count on the attempts' numbers.
+        over.into_iter().for_each(|id| self.ledger.forget_if_done(id));
+    }
+
+    fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Send { request, worker, timeout } => self.send(now, request, worker, timeout),
+            Action::Cancel { request, attempt } => {
+                let entry = self.ledger.get_mut(request);
+                if let Some(abort) = entry.and_then(|e| e.attempts.get(attempt)?.abort.as_ref()) {
+                    abort.abort();
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                if self.ledger.answer(request, Some(Answer::Refused { retry_after })) {
+                    self.over.push(request);
+                    self.counters.refused.add();
+                }
+            }
+            Action::Fail(request) => {
+                if self.ledger.answer(request, Some(Answer::Failed)) {
+                    self.over.push(request);
+                    self.counters.failed.add();
+                }
+            }
+            Action::Subscribe => self.transport.watch(),
+            Action::FetchList => self.transport.fetch_list(),
+            Action::SetTimer { at, token } => {
+                self.timers.insert((at, token));
+            }
+            Action::Probe(worker) => {
+                self.counters.probes.add();
+                let probe = self.transport.probe(worker.clone());
+                let abort = self.running.spawn(async { Done::Probe(probe.await) });
+                self.jobs.insert(abort.id(), Job::Probe(worker, now));
+            }
+            Action::CloseIdle(worker) => self.transport.close_idle(&worker),
+            Action::Tell { .. } => log::debug!("dispatchers have no way to talk: a message is dropped"),
+            Action::Log(text) => log::info!("{text}"),
+        }
+    }
+
+    fn send(&mut self, now: Time, request: RequestId, worker: Name, timeout: Option<Span>) {
+        let Some(entry) = self.ledger.get_mut(request) else {
+            return log::error!("the decisions sent request {request}, which is long over");
+        };
+        let (attempt, closed) = (entry.attempts.len(), entry.answered());
+        // Moot, if it was answered since this batch's events were fixed.
+        if closed || now >= entry.deadline || attempt >= self.max_attempts {
+            entry.attempts.push(Attempt { sent: now, abort: None });
+            self.counters.not_sent.add();
+            let (outcome, latency) = (Outcome::NotSent, Span(0));
+            let end = AttemptEnd { request, attempt, outcome, latency, closed, load: None };
+            return self.events.push_back(Event::Outcome(end));
+        }
+        let deadline = timeout.map_or(entry.deadline, |t| entry.deadline.min(now + t));
+        let call = entry.call.clone();
+        let future = self.transport.send(CallAttempt { request, attempt, worker, deadline, call });
+        let abort = self.running.spawn(async { Done::Attempt(future.await) });
+        self.jobs.insert(abort.id(), Job::Attempt(request, attempt));
+        entry.attempts.push(Attempt { sent: now, abort: Some(abort) });
+        self.counters.sent.add();
+    }
+
+    /// A promise of its own: whatever the decisions do, no request outlives its deadline unanswered. It is
+    /// failed, not refused, since an attempt may have run.
+    fn fail_overdue(&mut self) {
+        let limit = self.clock.now() - OVERDUE;
+        while let Some(id) = self.ledger.overdue(limit) {
+            log::warn!("request {id} was left unanswered past its deadline; it is failed");
+            self.ledger.answer(id, Some(Answer::Failed));
+            self.counters.failed.add();
+            self.over.push(id);
+            self.events.push_back(Event::ClientGone(id));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,18 @@
-//! poppymoor decides for a dispatcher that pushes jobs to workers.
+//! rookspoke dispatches jobs to log workers.
+//!
+//! The decisions are [`Dispatcher`]'s; [`dispatch`] owns one and carries out what it decides, whatever
+//! the wire. [`channel`] is the client-side plug-in that speaks the platform's protocol.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
 mod book;
 mod brain;
+pub mod channel;
+pub mod config;
+pub mod dispatch;
+pub mod front;
+pub mod logger;
 pub mod wire;
 
 pub use brain::Dispatcher;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,7 +6,7 @@
 
 pub use encode::{encode_action, encode_fault, encode_instance};
 pub use parse::{parse_line, parse_listing, Line};
-pub use settings::{parse_settings, Vocabulary};
+pub use settings::{parse_settings, ReportField, Vocabulary};
 
 use thiserror::Error;
 
--- a/src/wire/settings.rs
+++ b/src/wire/settings.rs
@@ -16,6 +16,16 @@
     pub tenants: Vec<Name>,
     /// The columns of a load report.
     pub report: Vec<ReportField>,
+    /// Their names, in the same order.
+    pub columns: Vec<Name>,
+}
+
+impl Vocabulary {
+    /// What the report field of this name means here.
+    pub fn column(&self, name: &str) -> ReportField {
+        let at = self.columns.iter().position(|c| c.as_ref() == name);
+        at.and_then(|at| self.report.get(at)).copied().unwrap_or(ReportField::Other)
+    }
 }
 
 /// What a column of a load report means.
@@ -156,8 +166,8 @@
         Some("free_memory") => ReportField::FreeMemory,
         _ => ReportField::Other,
     };
-    let report = pairs.names("reporting.fields");
-    let report = report.iter().map(|field| match field.as_ref() {
+    let columns = pairs.names("reporting.fields");
+    let report = columns.iter().map(|field| match field.as_ref() {
         "busy_reqs" => ReportField::Inflight,
         "pending" => ReportField::Queue,
         "cpu_share" => ReportField::Util,
@@ -170,6 +180,7 @@
         classes: classes.iter().map(|c| c.name.clone()).collect(),
         tenants: tenants.iter().map(|t| t.name.clone()).collect(),
         report: report.collect(),
+        columns,
     };
     let settings = Settings {
         me: pairs.count("me")?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 
-use poppymoor::api::*;
-use poppymoor::Dispatcher;
+use rookspoke::api::*;
+use rookspoke::Dispatcher;
 
 pub fn class(effect: Effect) -> Class {
     let aim = Span::from_ms(400.0);
--- a/tests/referee.rs
+++ b/tests/referee.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use poppymoor::api::*;
-use poppymoor::Dispatcher;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
+use rookspoke::api::*;
+use rookspoke::Dispatcher;
 
 #[derive(Clone)]
 struct Try {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -10,7 +10,7 @@
 reporting.how=answers\treporting.fields=x0,pending\tspecifics.report_x0=free_slots\tsome.new_key=17";
 
 fn run(input: &str) -> (String, String, Option<i32>) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_poppymoor-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_rookspoke-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
