Speak the Faktory work protocol on a core of its own, with VRRP for a pair

Producers PUSH, consumers FETCH, ACK, FAIL and BEAT; a call attempt is an offer to one consumer and then a reservation by jid. Off unless deploy/faktory.toml turns it on. VRRP version 3 over unicast UDP decides which daemon of a pair takes and hands out work; a pure state machine, tested with hand-fed time and with two processes.

Tests start the daemon and play clients, log workers, discovery, producers and consumers: disconnect between FETCH and ACK, FAIL of a job that may have finished, duplicate ACK, drain, deadline, refusal; each checks that every job is counted once.

Found by them: a daemon without a known list and without clients never asked discovery for one. The decisions start with their first event, and there was none (channel::discover). They now always hear of a remembered list, an empty one if need be; the platform tests fail without it.

--- a/src/channel/mod.rs
+++ b/src/channel/mod.rs
@@ -424,10 +424,11 @@
     let resolver = Resolver::new(config.discovery, known.as_ref().map(|k| k.rev));
     let ready = Arc::new(ready);
     async move {
-        if let Some(known) = known {
-            fleet.apply(ListScope::Remembered, &known);
-            let entries = known.targets.iter().map(|t| t.listing()).collect();
-            handle.list(ListScope::Remembered, entries).await;
+        // Without any list, too, the decisions must hear of their start: they ask for lists from then on.
+        let entries = known.iter().flat_map(|k| &k.targets).map(|t| t.listing()).collect();
+        known.iter().for_each(|known| fleet.apply(ListScope::Remembered, known));
+        handle.list(ListScope::Remembered, entries).await;
+        if known.is_some() {
             let ready = ready.clone();
             tokio::spawn(async move {
                 tokio::time::sleep(PATIENCE).await;
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -59,6 +60,8 @@
     pub settings: Settings,
     /// The names that requests and reports use.
     pub words: Vocabulary,
+    /// How long the clients of each class wait at the most.
+    pub class_time: Vec<Duration>,
     /// How long an idle connection to a log worker stays open there.
     pub conn_idle_ms: f64,
     /// How long a connection may take to come up.
@@ -107,6 +110,15 @@
             let value = value.filter(|ms| ms.is_finite() && (1.0..1e9).contains(ms));
             value.ok_or_else(|| ConfigError::new(format!("settings.limits.{field}"), "not a time in ms"))
         };
+        let class_time = (0..settings.classes.len()).map(|at| {
+            let field = format!("classes/{at}/deadline_ms");
+            let value = raw.pointer(&format!("/{field}")).and_then(Value::as_f64);
+            let value = value.filter(|ms| (0.0..1e9).contains(ms));
+            let value =
+                value.ok_or_else(|| ConfigError::new(format!("settings.{field}"), "not a time in ms"));
+            value.map(|ms| Duration::from_secs_f64(ms / 1000.0))
+        });
+        let class_time = class_time.collect::<Result<_, _>>()?;
         if file.limits.sockets < 64 {
             return Err(ConfigError::new("limits.sockets", "fewer than 64"));
         }
@@ -120,6 +132,7 @@
             known: known.transpose()?,
             settings,
             words,
+            class_time,
             conn_idle_ms: millis("conn_idle_ms")?,
             connect_timeout_ms: millis("connect_timeout_ms")?,
         })
--- a/src/dispatch/counters.rs
+++ b/src/dispatch/counters.rs
@@ -29,6 +29,8 @@
     taken,
     /// Requests turned down before they were taken, for what they say.
     malformed,
+    /// Requests turned down before they were taken, for what the front knows.
+    turned_down,
     /// Requests turned down before they were taken, for want of room.
     overload,
     /// Answers: served.
@@ -47,6 +49,8 @@
     cancelled,
     /// Call attempts that ended without being served, called off or stopped.
     attempts_failed,
+    /// Reports of an attempt whose outcome was settled before.
+    late_reports,
     /// Probes sent.
     probes,
     /// Resolver results taken.
--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -11,8 +11,8 @@
 use super::ledger::{Attempt, Ledger};
 use super::{Answer, CallAttempt, Clock, Counters, Ended, Handle, Input, Probed, Transport};
 use crate::api::{
-    Action, AttemptEnd, Event, LoadReport, Name, Outcome, Request, RequestId, Settings, SettingsError, Span,
-    Time,
+    Action, AttemptEnd, Event, ListScope, LoadReport, Name, Outcome, Request, RequestId, Settings,
+    SettingsError, Span, Time,
 };
 use crate::Dispatcher;
 
@@ -182,8 +182,11 @@
                 }
             }
             Input::List(scope, entries) => {
-                let failed = scope == crate::api::ListScope::Failed;
-                if failed { &self.counters.lists_failed } else { &self.counters.lists }.add();
+                match scope {
+                    ListScope::Changes | ListScope::Complete => self.counters.lists.add(),
+                    ListScope::Failed => self.counters.lists_failed.add(),
+                    ListScope::Remembered => {}
+                }
                 self.events.push_back(Event::List { scope, entries });
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod channel;
 pub mod config;
 pub mod dispatch;
+pub mod faktory;
 pub mod front;
 pub mod logger;
+pub mod vrrp;
 pub mod wire;
 
 pub use brain::Dispatcher;
--- /dev/null
+++ b/src/vrrp/mod.rs
@@ -0,0 +1,68 @@
+//! VRRP version 3 (RFC 9568) between the daemons of a Faktory pair, over unicast UDP: it decides which of
+//! them accepts new work.
+
+mod driver;
+mod machine;
+mod packet;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use serde::Deserialize;
+
+pub use driver::{Driver, VrrpCounters};
+pub use machine::{Machine, Params, State};
+pub use packet::{Advertisement, BadAdvertisement};
+
+use crate::config::ConfigError;
+
+/// The part `[vrrp]` of `deploy/faktory.toml`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VrrpConfig {
+    /// This daemon's own address and port.
+    pub listen: SocketAddrV4,
+    /// The other daemons'.
+    pub peers: Vec<SocketAddrV4>,
+    /// The number of the virtual router.
+    pub vrid: u8,
+    /// 1 to 254; 255 for the owner of the addresses.
+    pub priority: u8,
+    /// How often the master advertises, in hundredths of a second.
+    #[serde(default = "interval_cs")]
+    pub interval_cs: u16,
+    /// Whether to take over from a master of lower priority.
+    #[serde(default = "preempt")]
+    pub preempt: bool,
+    /// The virtual addresses, the same on every daemon.
+    pub addresses: Vec<Ipv4Addr>,
+}
+
+fn interval_cs() -> u16 {
+    100
+}
+fn preempt() -> bool {
+    true
+}
+
+impl VrrpConfig {
+    /// Turns down what cannot work, naming the field.
+    pub fn params(&self) -> Result<Params, ConfigError> {
+        let need = |ok: bool, field: &str, found: String| match ok {
+            true => Ok(()),
+            false => Err(ConfigError::new(format!("vrrp.{field}"), found)),
+        };
+        need(self.vrid > 0, "vrid", "0".into())?;
+        need(self.priority > 0, "priority", "0 is for a master that stops".into())?;
+        let interval = (1..=packet::MAX_INTERVAL).contains(&self.interval_cs);
+        need(interval, "interval_cs", self.interval_cs.to_string())?;
+        need((1..=255).contains(&self.addresses.len()), "addresses", "1 to 255 of them".into())?;
+        need(!self.peers.is_empty(), "peers", "none".into())?;
+        let own = Advertisement {
+            vrid: self.vrid,
+            priority: self.priority,
+            interval_cs: self.interval_cs,
+            addresses: self.addresses.clone(),
+        };
+        Ok(Params { own, address: self.listen, preempt: self.preempt })
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Settings, lists and a small host for tests of the module.
 #![allow(dead_code)]
 
+pub mod faktory;
+pub mod world;
+
 use std::sync::Arc;
 
 use rookspoke::api::*;
--- /dev/null
+++ b/tests/common/world.rs
@@ -0,0 +1,412 @@
+//! The daemon as a process, and stand-ins for those it talks to: clients, log workers, discovery.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+/// Nothing here takes nearly as long; a test that waits for this has failed.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str, worth: f64, aim: f64, deadline: f64| {
+        json!({"name": name, "effect": effect, "gain": worth, "goal_time_ms": aim, "deadline_ms": deadline,
+               "late_worth": 0.0, "group": "all", "dedup_window_ms": 5000.0, "streamed": false})
+    };
+    json!({
+        "balancers": 1, "me": 0, "zone": "bp-vaci", "localities": ["bp-vaci"], "machine_types": ["std4"],
+        "classes": [class("log-lookup", "read_like", 2.0, 5000.0, 10000.0),
+                    class("qso-confirm", "non_idempotent", 3.0, 5000.0, 20000.0)],
+        "discovery": "subscribe", "projects": [], "quantum_ms": 4.0,
+        "limits": {"cancel": true, "probes": false, "second_copies": true, "retry_after": true, "send_cap": 6,
+                   "max_retry_after_ms": 2000.0, "conn_idle_ms": 15000.0, "connect_timeout_ms": 250.0},
+        "reporting": {"how": "none", "fields": []},
+        "rules": {"answer_slack_ms": 16.0, "ask_every_ms": 1000.0, "stop_sending_within_ms": 500.0,
+                  "cold_from": 0.13, "ramp_time_ms": 23000.0, "fall_multiple": 3.0, "overload_for_ms": 3000.0},
+        "specifics": {"tells_start": true, "class_stretch": [2.5, 2.0]},
+    })
+}
+
+/// A folder of its own for each daemon, removed at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("rookspoke-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(path.join("deploy")).expect("a folder for the test");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A running daemon; killed when dropped.
+pub struct Daemon {
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    _folder: Folder,
+}
+
+impl Daemon {
+    pub fn command(config: &Value, faktory: Option<&str>) -> (Command, impl Sized) {
+        let folder = Folder::new();
+        let path = folder.0.join("config.json");
+        std::fs::write(&path, config.to_string()).expect("the configuration is written");
+        if let Some(text) = faktory {
+            std::fs::write(folder.0.join("deploy/faktory.toml"), text).expect("the file is written");
+        }
+        (command(&path, &folder.0), folder)
+    }
+
+    pub fn start(config: &Value, faktory: Option<&str>) -> Self {
+        let folder = Folder::new();
+        let path = folder.0.join("config.json");
+        std::fs::write(&path, config.to_string()).expect("the configuration is written");
+        if let Some(text) = faktory {
+            std::fs::write(folder.0.join("deploy/faktory.toml"), text).expect("the file is written");
+        }
+        let mut child = command(&path, &folder.0).stderr(Stdio::piped()).spawn().expect("the daemon starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (lines, stderr) = (log.clone(), child.stderr.take().expect("standard error"));
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                lines.lock().expect("the log").push(line);
+            }
+        });
+        Daemon { child, log, _folder: folder }
+    }
+
+    /// A daemon in front of these log workers, once it is ready for clients.
+    pub fn over(discovery: &Discovery) -> Self {
+        let daemon = Daemon::start(&config(discovery.address), None);
+        daemon.wait_ready();
+        daemon
+    }
+
+    /// Waits for a line that holds `text`, and returns it.
+    pub fn wait_log(&self, text: &str) -> String {
+        let found = || self.log.lock().expect("the log").iter().find(|l| l.contains(text)).cloned();
+        wait_for(&format!("a line with {text:?}"), found)
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("the log").clone()
+    }
+
+    /// Where the daemon listens, by its own account.
+    pub fn address(&self, front: &str) -> SocketAddr {
+        let line = self.wait_log(&format!("{front} listens at "));
+        line.rsplit(' ').next().expect("an address").parse().expect("an address")
+    }
+
+    pub fn wait_ready(&self) {
+        let address = self.address("http");
+        wait_for("ready", || (get(address, "/health/ready").status == 200).then_some(()));
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
+    pub fn wait_exit(&mut self) -> ExitStatus {
+        wait_for("the daemon's end", || self.child.try_wait().expect("a child"))
+    }
+
+    /// The totals that the daemon prints on request; every request brings a new line.
+    pub fn counters(&self, front: &str) -> String {
+        let (before, text) = (self.log().len(), format!("{front} counters: "));
+        self.signal("USR1");
+        wait_for(&text, || self.log()[before..].iter().find(|l| l.contains(&text)).cloned())
+    }
+
+    /// Waits until a front's totals hold all of these.
+    pub fn wait_counters(&self, front: &str, wanted: &[&str]) {
+        let holds = |line: &String| wanted.iter().all(|w| line.split(' ').any(|part| part == *w));
+        wait_for(&format!("{wanted:?}"), || Some(self.counters(front)).filter(holds).map(drop));
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            let mut log = self.log();
+            log.dedup();
+            eprintln!("the daemon's log:\n{}", log.join("\n"));
+        }
+    }
+}
+
+fn command(config: &Path, folder: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rookspoke"));
+    command.current_dir(folder).env("PROXY_CONFIG", config).env("ROOKSPOKE_LOG", "debug");
+    for name in ["PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"] {
+        command.env_remove(name);
+    }
+    command.stdin(Stdio::null()).stdout(Stdio::null());
+    command
+}
+
+pub fn config(discovery: SocketAddr) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": null, "settings": settings(),
+    })
+}
+
+pub fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// An HTTP message: its first line, its headers, its body.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    pub status: u16,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1.as_str())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads one message; none if the connection ends first.
+pub fn read_message(from: &mut impl BufRead) -> Option<Message> {
+    let mut line = || {
+        let mut text = String::new();
+        let read = from.read_line(&mut text).ok()?;
+        (read > 0).then(|| text.trim_end().to_owned())
+    };
+    let first = line()?;
+    let mut headers = Vec::new();
+    while let Some((name, value)) = line()?.split_once(':') {
+        headers.push((name.trim().to_owned(), value.trim().to_owned()));
+    }
+    let status = first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let mut message = Message { first, headers, body: Vec::new(), status };
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body.resize(length, 0);
+    from.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+pub fn send(to: SocketAddr, text: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(text).expect("sent");
+    stream
+}
+
+pub fn get(to: SocketAddr, path: &str) -> Message {
+    let stream = send(to, format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").as_bytes());
+    read_message(&mut BufReader::new(stream)).expect("an answer")
+}
+
+/// A job as the platform's clients word it.
+pub fn post(class: &str, id: &str, left_ms: u32, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "POST /{class}/station-1?x=1 HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: {id}\r\n\
+         X-Service-Class: {class}\r\nX-Time-Left-Ms: {left_ms}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+pub fn ask(to: SocketAddr, request: &[u8]) -> Message {
+    read_message(&mut BufReader::new(send(to, request))).expect("an answer")
+}
+
+/// What a log worker does with a request, over the connection that it came on; true keeps that open.
+pub type Behaviour = dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync;
+
+/// A stand-in log worker.
+pub struct Worker {
+    pub address: SocketAddr,
+    pub uid: String,
+    pub seen: Arc<Mutex<Vec<Message>>>,
+    pub connections: Arc<AtomicU32>,
+}
+
+impl Worker {
+    pub fn start(
+        uid: &str,
+        behaviour: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (seen, behaviour): (Arc<Mutex<Vec<Message>>>, Arc<Behaviour>) =
+            (Arc::default(), Arc::new(behaviour));
+        let connections = Arc::new(AtomicU32::new(0));
+        let (all, count) = (seen.clone(), connections.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                count.fetch_add(1, Ordering::SeqCst);
+                let (seen, behaviour) = (all.clone(), behaviour.clone());
+                thread::spawn(move || {
+                    let mut from = BufReader::new(stream.try_clone().expect("a clone"));
+                    while let Some(message) = read_message(&mut from) {
+                        seen.lock().expect("requests").push(message.clone());
+                        if !behaviour(&message, &mut stream) {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Worker { address, uid: uid.into(), seen, connections }
+    }
+
+    pub fn serving(uid: &str) -> Self {
+        Worker::start(uid, |request, to| {
+            serve(request, to, "fine");
+            true
+        })
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().expect("requests").len()
+    }
+
+    pub fn entry(&self, state: &str) -> Value {
+        entry(&self.uid, self.address, state)
+    }
+}
+
+pub fn entry(uid: &str, endpoint: SocketAddr, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": endpoint, "az": "bp-vaci", "model": "std4", "pod_group": 1,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+/// An answer in chunks, one object to each.
+pub fn objects(to: &mut TcpStream, objects: &[Value], end: bool) {
+    let mut text = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for object in objects {
+        let line = format!("{object}\n");
+        text.push_str(&format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+    text.push_str(if end { "0\r\n\r\n" } else { "" });
+    let _ = to.write_all(text.as_bytes());
+}
+
+pub fn state(request: &Message, state: &str) -> Value {
+    json!({"id": request.header("x-correlation-id"), "from": "w", "state": state})
+}
+
+pub fn serve(request: &Message, to: &mut TcpStream, result: &str) {
+    let mut done = state(request, "done");
+    done["result"] = result.into();
+    objects(to, &[state(request, "started"), done], true);
+}
+
+/// A stand-in discovery: answers watches with the whole list, then with what is told.
+pub struct Discovery {
+    pub address: SocketAddr,
+    news: Arc<Mutex<Vec<mpsc::Sender<String>>>>,
+    list: Arc<Mutex<Vec<Value>>>,
+    pub watches: Arc<AtomicU32>,
+}
+
+impl Discovery {
+    pub fn start(list: Vec<Value>) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let news: Arc<Mutex<Vec<mpsc::Sender<String>>>> = Arc::default();
+        let (list, watches) = (Arc::new(Mutex::new(list)), Arc::new(AtomicU32::new(0)));
+        let discovery =
+            Discovery { address, news: news.clone(), list: list.clone(), watches: watches.clone() };
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (sender, told) = mpsc::channel();
+                // Listed before it is counted: what is told after the count is not missed.
+                let first = {
+                    let list = list.lock().expect("the list");
+                    news.lock().expect("watches").push(sender);
+                    json!({"rev": 1, "all": true, "targets": *list}).to_string()
+                };
+                watches.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || watch(stream, first, &told));
+            }
+        });
+        discovery
+    }
+
+    pub fn of(workers: &[&Worker]) -> Self {
+        Discovery::start(workers.iter().map(|w| w.entry("active")).collect())
+    }
+
+    /// A line to every watch, as it stands.
+    pub fn say(&self, line: &str) {
+        self.news.lock().expect("watches").iter().for_each(|to| drop(to.send(line.to_owned())));
+    }
+
+    pub fn change(&self, entry: Value) {
+        self.say(&json!({"rev": 2, "all": false, "targets": [entry]}).to_string());
+    }
+
+    /// Ends every watch.
+    pub fn break_watches(&self) {
+        self.news.lock().expect("watches").clear();
+    }
+
+    pub fn set(&self, list: Vec<Value>) {
+        *self.list.lock().expect("the list") = list;
+    }
+}
+
+fn watch(mut stream: TcpStream, first: String, told: &mpsc::Receiver<String>) {
+    let mut from = BufReader::new(stream.try_clone().expect("a clone"));
+    if read_message(&mut from).is_none() {
+        return;
+    }
+    let mut line = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&first));
+    loop {
+        if stream.write_all(line.as_bytes()).is_err() {
+            return;
+        }
+        line = match told.recv_timeout(Duration::from_millis(500)) {
+            Ok(text) => chunk(&text),
+            Err(mpsc::RecvTimeoutError::Timeout) => chunk(""),
+            Err(mpsc::RecvTimeoutError::Disconnected) => return,
+        };
+    }
+}
+
+fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+/// Whether the other side has closed the connection.
+pub fn is_closed(stream: &mut TcpStream) -> bool {
+    match stream.read(&mut [0; 64]) {
+        Ok(read) => read == 0,
+        Err(e) => e.kind() == ErrorKind::ConnectionReset,
+    }
+}
--- /dev/null
+++ b/tests/faktory.rs
@@ -0,0 +1,219 @@
+//! The Faktory front, between a stand-in producer and stand-in consumers: every job counted exactly once.
+
+mod common;
+
+use common::faktory::*;
+use common::world::*;
+
+/// Starts FETCH on a consumer, so that it is listed, and returns once it waits.
+fn waiting(daemon: &Daemon, wid: &str) -> Peer {
+    let to = daemon.address("faktory");
+    let mut consumer = Peer::consumer(to, wid);
+    consumer.tell("FETCH default");
+    let mut looker = Peer::producer(to);
+    wait_for("the consumer", || looker.info()["listed"].as_array()?.iter().any(|w| w == wid).then_some(()));
+    consumer
+}
+
+#[test]
+fn a_job_goes_from_a_producer_to_a_consumer_as_it_came() {
+    let daemon = daemon(ON);
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    let text =
+        r#"{"jid":"job-00000001","jobtype":"qso-confirm",  "args":[1,"two"],"custom":{"key":"HA5XX"}}"#;
+    assert_eq!(producer.say(&format!("PUSH {text}")), "+OK");
+    assert_eq!(consumer.reply(), text);
+    assert_eq!(consumer.ack("job-00000001"), "+OK");
+    daemon.wait_counters("faktory", &["taken=1", "served=1", "refused=0", "failed=0", "late_reports=0"]);
+}
+
+#[test]
+fn what_makes_no_sense_is_answered_with_an_error_and_counted() {
+    let daemon = daemon(ON);
+    let to = daemon.address("faktory");
+    let mut producer = Peer::producer(to);
+    let long = format!("PUSH {}", "x".repeat(70_000));
+    let replies: Vec<String> = [
+        "HELLO {\"v\":2}",
+        "PUSH {\"jid\":",
+        "PUSH {\"jid\":\"short\",\"jobtype\":\"log-lookup\",\"args\":[]}",
+        "PUSH {\"jid\":\"job-00000001\",\"jobtype\":\"log-lookup\",\"args\":[],\"at\":\"2030-01-01T00:00:00Z\"}",
+        "PUSH {\"jid\":\"job-00000001\",\"jobtype\":\"unheard-of\",\"args\":[]}",
+        "FETCH default",
+        "FLUSH",
+        "ACK 7",
+        &long,
+    ]
+    .iter()
+    .map(|command| producer.say(command))
+    .collect();
+    insta::assert_snapshot!(replies.join("\n"), @r#"
+    -ERR HELLO was said already
+    -ERR malformed PUSH: EOF while parsing a value at line 1 column 7
+    -ERR malformed PUSH: jid: 8 to 256 characters
+    -ERR malformed PUSH: at: scheduled jobs are not taken
+    -ERR jobtype "unheard-of" is not known
+    -ERR only a client whose HELLO has a wid may FETCH
+    -ERR "FLUSH" is not supported
+    -ERR malformed ACK: invalid type: integer `7`, expected struct Jid at line 1 column 1
+    -ERR a command is longer than 65536 bytes
+    "#);
+    let mut rude = Peer::silent(to);
+    rude.reply();
+    assert_eq!(rude.say("PUSH {}"), "-ERR HELLO with v 2 comes first");
+    daemon.wait_counters("faktory", &["taken=0", "turned_down=1", "malformed=7"]);
+}
+
+#[test]
+fn without_a_consumer_a_push_is_refused() {
+    let daemon = daemon(ON);
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    let mut job = job("job-00000001", "qso-confirm");
+    job["custom"] = serde_json::json!({"time_left_ms": 200});
+    assert!(producer.push(&job).starts_with("-ERR unavailable"));
+    // What was refused may be pushed again.
+    assert!(producer.push(&job).starts_with("-ERR unavailable"));
+    daemon.wait_counters("faktory", &["taken=2", "refused=2", "sent=0"]);
+}
+
+/// The hard case: nobody can tell whether the job ran, so nobody else may get it.
+#[test]
+fn a_confirmation_whose_consumer_disconnects_is_failed_and_never_handed_out_again() {
+    let daemon = daemon(ON);
+    let mut first = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    let pushed = job("job-00000001", "qso-confirm");
+    assert_eq!(producer.push(&pushed), "+OK");
+    assert_eq!(first.reply(), pushed.to_string());
+    let mut second = waiting(&daemon, "c-2");
+    drop(first);
+    daemon.wait_counters("faktory", &["taken=1", "failed=1", "served=0", "refused=0", "sent=1"]);
+    assert_eq!(second.reply(), "nil");
+    // The late report is answered, and changes nothing; nor may the job come in again.
+    assert_eq!(second.ack("job-00000001"), "+OK");
+    assert_eq!(producer.push(&pushed), "-ERR job job-00000001 was pushed before");
+    daemon.wait_counters("faktory", &["taken=1", "failed=1", "served=0", "late_reports=1", "turned_down=1"]);
+}
+
+#[test]
+fn a_lookup_whose_consumer_disconnects_goes_to_another() {
+    let daemon = daemon(ON);
+    let mut first = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    assert_eq!(producer.push(&job("job-00000001", "log-lookup")), "+OK");
+    assert_eq!(first.fetched()["jid"], "job-00000001");
+    let mut second = waiting(&daemon, "c-2");
+    drop(first);
+    assert_eq!(second.fetched()["jid"], "job-00000001");
+    assert_eq!(second.ack("job-00000001"), "+OK");
+    daemon.wait_counters("faktory", &["taken=1", "served=1", "failed=0", "sent=2"]);
+}
+
+/// A reservation belongs to the job's id, not to the connection that fetched it.
+#[test]
+fn an_ack_over_another_connection_of_the_consumer_counts() {
+    let daemon = daemon("enabled = true\nlisten = \"127.0.0.1:0\"\nreconnect_ms = 60000\n");
+    let mut first = waiting(&daemon, "c-1");
+    let to = daemon.address("faktory");
+    assert_eq!(Peer::producer(to).push(&job("job-00000001", "qso-confirm")), "+OK");
+    assert_eq!(first.fetched()["jid"], "job-00000001");
+    drop(first);
+    assert_eq!(Peer::consumer(to, "c-1").ack("job-00000001"), "+OK");
+    daemon.wait_counters("faktory", &["taken=1", "served=1", "failed=0", "late_reports=0"]);
+}
+
+/// The other hard case: a FAIL may come of a job that finished, so it is not handed out again either.
+#[test]
+fn a_confirmation_reported_failed_is_not_run_again_and_the_first_report_wins() {
+    let daemon = daemon(ON);
+    let mut first = waiting(&daemon, "c-1");
+    let mut second = waiting(&daemon, "c-2");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
+    // Whichever consumer the decisions chose.
+    let (one, two) = (first.reply(), second.reply());
+    assert!((one == "nil") != (two == "nil"), "handed out once: {one} {two}");
+    assert_eq!(first.fail("job-00000001"), "+OK");
+    daemon.wait_counters("faktory", &["taken=1", "failed=1", "sent=1"]);
+    assert_eq!(first.ack("job-00000001"), "+OK");
+    assert_eq!(second.fail("job-00000001"), "+OK");
+    assert_eq!((first.say("FETCH default"), second.say("FETCH default")), ("nil".into(), "nil".into()));
+    daemon.wait_counters("faktory", &["taken=1", "failed=1", "served=0", "sent=1", "late_reports=2"]);
+}
+
+#[test]
+fn a_second_ack_and_a_late_fail_are_answered_and_counted_apart() {
+    let daemon = daemon(ON);
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000001");
+    let replies = [consumer.ack("job-00000001"), consumer.ack("job-00000001"), consumer.fail("job-00000001")];
+    assert_eq!(replies, ["+OK", "+OK", "+OK"]);
+    daemon.wait_counters("faktory", &["taken=1", "served=1", "failed=0", "late_reports=2"]);
+}
+
+/// Rule 3: a consumer that drains gets nothing new, not even what was offered to it before.
+#[test]
+fn a_draining_consumer_gets_nothing_new() {
+    let daemon = daemon(ON);
+    let to = daemon.address("faktory");
+    let mut quiet = waiting(&daemon, "c-1");
+    // A second connection of the consumer says so while the first still waits.
+    assert_eq!(Peer::consumer(to, "c-1").beat("c-1", "quiet"), "+OK");
+    assert_eq!(quiet.reply(), "nil");
+    let mut producer = Peer::producer(to);
+    let mut other = waiting(&daemon, "c-2");
+    for at in 0..5 {
+        let jid = format!("job-{at:08}");
+        assert_eq!(producer.push(&job(&jid, "qso-confirm")), "+OK");
+        assert_eq!(other.fetched()["jid"], jid);
+        assert_eq!(other.ack(&jid), "+OK");
+        other.tell("FETCH default");
+        assert_eq!(quiet.say("FETCH default"), "nil");
+    }
+    daemon.wait_counters("faktory", &["taken=5", "served=5", "sent=5"]);
+}
+
+#[test]
+fn a_job_not_done_by_its_deadline_fails_once() {
+    let daemon = daemon(ON);
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    let mut job = job("job-00000001", "qso-confirm");
+    job["custom"] = serde_json::json!({"time_left_ms": 400});
+    assert_eq!(producer.push(&job), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000001");
+    daemon.wait_counters("faktory", &["taken=1", "failed=1"]);
+    assert_eq!(consumer.ack("job-00000001"), "+OK");
+    daemon.wait_counters("faktory", &["taken=1", "failed=1", "served=0", "late_reports=1"]);
+}
+
+#[test]
+fn a_reservation_that_runs_out_may_have_run() {
+    let daemon = daemon(ON);
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    let mut job = job("job-00000001", "qso-confirm");
+    job["reserve_for"] = 0.into();
+    assert_eq!(producer.push(&job), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000001");
+    daemon.wait_counters("faktory", &["taken=1", "failed=1", "sent=1"]);
+}
+
+#[test]
+fn told_to_end_it_hands_out_what_it_took_and_takes_nothing_new() {
+    let mut daemon = daemon(ON);
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000001");
+    daemon.signal("TERM");
+    wait_for("a refusal", || {
+        producer.push(&job("job-00000002", "no-such")).contains("about to end").then_some(())
+    });
+    assert_eq!(consumer.ack("job-00000001"), "+OK");
+    assert!(daemon.wait_exit().success());
+    assert!(daemon.wait_log("faktory counters at exit").contains("taken=1 "));
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,250 @@
+//! The daemon on the platform's protocol, between stand-in clients, log workers and discovery.
+
+mod common;
+
+use std::io::{BufReader, Write};
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+
+use common::world::*;
+use serde_json::json;
+
+#[test]
+fn a_job_passes_unchanged_and_its_result_comes_back() {
+    let worker = Worker::serving("w-1");
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let answer = ask(daemon.address("http"), &post("qso-confirm", "00000000000000a1", 5000, "two stations"));
+    let seen = worker.seen.lock().expect("requests")[0].clone();
+    let mut told: Vec<String> = seen.headers.iter().map(|(name, value)| format!("{name}: {value}")).collect();
+    told.retain(|header| !header.starts_with("x-time-left-ms"));
+    let left: u32 = seen.header("x-time-left-ms").expect("the time left").parse().expect("whole ms");
+    assert!(left <= 5000);
+    insta::assert_snapshot!(
+        format!("{}\n{}\n{}\n=> {} {}", seen.first, told.join("\n"), seen.text(), answer.status, answer.text()),
+        @r"
+    POST /qso-confirm/station-1?x=1 HTTP/1.1
+    host: service.internal
+    x-correlation-id: 00000000000000a1
+    x-service-class: qso-confirm
+    content-length: 12
+    two stations
+    => 200 fine
+    "
+    );
+}
+
+#[test]
+fn results_of_every_form_reach_the_client() {
+    let bodies = [r#""a \"quoted\" line\n""#, r#"{"b": [1,  2]}"#, r#""""#, "\"\u{151}\""];
+    let next = Mutex::new(bodies.into_iter());
+    let worker = Worker::start("w-1", move |request, to| {
+        let body = next.lock().expect("bodies").next().expect("one more");
+        let id = request.header("x-correlation-id").expect("an id");
+        let line = format!("{{\"id\":\"{id}\",\"from\":\"w\",\"state\":\"done\",\"result\":{body}}}\n");
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n0\r\n\r\n",
+            line.len()
+        );
+        to.write_all(text.as_bytes()).is_ok()
+    });
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let got: Vec<String> =
+        (0..4).map(|at| ask(http, &post("log-lookup", &format!("{at:016x}"), 5000, "")).text()).collect();
+    assert_eq!(got, ["a \"quoted\" line\n", r#"{"b": [1,  2]}"#, "", "\u{151}"]);
+    // One after another they share a connection: a new one costs the log worker work.
+    assert_eq!(worker.connections.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn bad_requests_are_turned_down_and_counted() {
+    let worker = Worker::serving("w-1");
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let good = String::from_utf8(post("log-lookup", "00000000000000b1", 5000, "")).expect("text");
+    let long = "x".repeat(64 * 1024 + 1);
+    let cases = [
+        good.replace("POST", "PUT"),
+        good.replace("X-Correlation-Id", "X-Other"),
+        good.replace("Time-Left-Ms: 5000", "Time-Left-Ms: soon"),
+        good.replace("log-lookup", "no-such-class"),
+        String::from_utf8(post("log-lookup", "00000000000000b2", 5000, &long)).expect("text"),
+    ];
+    let statuses: Vec<u16> = cases.iter().map(|text| ask(http, text.as_bytes()).status).collect();
+    assert_eq!(statuses, [405, 400, 400, 400, 413]);
+    assert_eq!(ask(http, good.as_bytes()).status, 200, "the daemon goes on");
+    daemon.wait_counters("http", &["taken=1", "malformed=5", "served=1"]);
+    assert_eq!(worker.count(), 1);
+}
+
+/// Rule 2: what may have run and must never run twice is failed, never sent again and never called harmless.
+#[test]
+fn a_confirmation_that_may_have_run_is_failed_and_not_sent_again() {
+    let cases: [(&str, &Behaviour); 4] = [
+        ("breaks after its start", &|request, to| {
+            objects(to, &[state(request, "started")], false);
+            false
+        }),
+        ("breaks before any answer", &|_, _| false),
+        ("speaks nonsense", &|_, to| {
+            objects(to, &[json!("nonsense")], true);
+            false
+        }),
+        ("fails", &|request, to| {
+            objects(to, &[state(request, "failed")], true);
+            true
+        }),
+    ];
+    for (case, behaviour) in cases {
+        let behave = move |request: &Message, to: &mut std::net::TcpStream| behaviour(request, to);
+        let (one, two) = (Worker::start("w-1", behave), Worker::start("w-2", behave));
+        let daemon = Daemon::over(&Discovery::of(&[&one, &two]));
+        let answer = ask(daemon.address("http"), &post("qso-confirm", "00000000000000c1", 5000, ""));
+        assert_eq!((answer.status, one.count() + two.count()), (500, 1), "{case}");
+        daemon.wait_counters("http", &["taken=1", "failed=1", "refused=0", "served=0"]);
+    }
+}
+
+/// What a log worker turned away never ran: it may go to another.
+#[test]
+fn a_confirmation_that_never_ran_goes_to_another_worker() {
+    let away: &Behaviour = &|_, to| {
+        let text = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+        to.write_all(text.as_bytes()).is_ok()
+    };
+    // Whichever comes first turns the job away.
+    let first = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let worker = |uid: &str| {
+        let first = first.clone();
+        Worker::start(uid, move |request, to| match first.swap(false, Ordering::SeqCst) {
+            true => away(request, to),
+            false => {
+                serve(request, to, "fine");
+                true
+            }
+        })
+    };
+    let (one, two) = (worker("w-1"), worker("w-2"));
+    let daemon = Daemon::over(&Discovery::of(&[&one, &two]));
+    assert_eq!(ask(daemon.address("http"), &post("qso-confirm", "00000000000000d1", 5000, "")).status, 200);
+    assert_eq!((one.count(), two.count()), (1, 1));
+}
+
+/// An answer is never held back, and says when to come back.
+#[test]
+fn a_refusal_comes_at_once_with_the_time_to_come_back() {
+    let gone = entry("w-1", "127.0.0.1:9".parse().expect("an address"), "active");
+    let daemon = Daemon::over(&Discovery::start(vec![gone]));
+    let answer = ask(daemon.address("http"), &post("qso-confirm", "00000000000000e1", 20_000, ""));
+    assert_eq!(answer.status, 503);
+    let seconds: f64 = answer.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!(seconds > 0.0);
+}
+
+#[test]
+fn a_client_that_leaves_calls_its_job_off() {
+    let worker = Worker::start("w-1", |request, to| {
+        objects(to, &[state(request, "started")], false);
+        is_closed(to);
+        false
+    });
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let client = send(daemon.address("http"), &post("log-lookup", "00000000000000f1", 9000, ""));
+    wait_for("the job", || (worker.count() == 1).then_some(()));
+    drop(client);
+    daemon.wait_counters("http", &["taken=1", "client_gone=1", "cancelled=1"]);
+}
+
+#[test]
+fn a_job_unanswered_at_its_deadline_fails_in_time() {
+    let worker = Worker::start("w-1", |_, to| {
+        is_closed(to);
+        false
+    });
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    assert_eq!(ask(daemon.address("http"), &post("qso-confirm", "0000000000000101", 300, "")).status, 500);
+    daemon.wait_counters("http", &["taken=1", "failed=1"]);
+}
+
+/// Rule 3, and discovery's whims: nonsense and a broken watch cost a new watch, no more.
+#[test]
+fn a_draining_worker_gets_nothing_new_and_a_broken_watch_starts_again() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let discovery = Discovery::of(&[&one, &two]);
+    let daemon = Daemon::over(&discovery);
+    let http = daemon.address("http");
+    wait_for("a watch", || (discovery.watches.load(Ordering::SeqCst) == 1).then_some(()));
+    discovery.say("nonsense");
+    wait_for("a second watch", || (discovery.watches.load(Ordering::SeqCst) == 2).then_some(()));
+    discovery.break_watches();
+    wait_for("a third watch", || (discovery.watches.load(Ordering::SeqCst) == 3).then_some(()));
+    discovery.change(one.entry("leaving"));
+    daemon.wait_counters("http", &["lists=4", "lists_failed=2"]);
+    let before = one.count();
+    for at in 0..20 {
+        assert_eq!(ask(http, &post("log-lookup", &format!("{at:016x}"), 5000, "")).status, 200);
+    }
+    assert_eq!((one.count(), two.count()), (before, 20));
+}
+
+#[test]
+fn without_discovery_the_known_list_has_to_do() {
+    let worker = Worker::serving("w-1");
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut config = config(silent.local_addr().expect("an address"));
+    config["known"] = json!({"rev": 3, "all": true, "targets": [worker.entry("active")]});
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    assert_eq!(ask(daemon.address("http"), &post("log-lookup", "0000000000000111", 5000, "")).status, 200);
+}
+
+#[test]
+fn told_to_end_it_finishes_what_it_took_and_reports_its_totals() {
+    let worker = Worker::start("w-1", |request, to| {
+        std::thread::sleep(std::time::Duration::from_millis(1500));
+        serve(request, to, "fine");
+        true
+    });
+    let mut daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let mut client = BufReader::new(send(http, &post("qso-confirm", "0000000000000121", 9000, "")));
+    wait_for("the job", || (worker.count() == 1).then_some(()));
+    daemon.signal("TERM");
+    wait_for("unready", || (get(http, "/health/ready").status == 503).then_some(()));
+    assert_eq!(read_message(&mut client).expect("an answer").status, 200);
+    assert!(daemon.wait_exit().success());
+    let line = daemon.wait_log("http counters at exit: ");
+    insta::assert_snapshot!(line.split_once(": ").expect("a colon").1, @"http counters at exit: taken=1 malformed=0 turned_down=0 overload=0 served=1 refused=0 failed=0 client_gone=0 sent=1 not_sent=0 cancelled=0 attempts_failed=0 late_reports=0 probes=0 lists=1 lists_failed=0");
+}
+
+#[test]
+fn a_bad_configuration_ends_it_with_a_line_that_names_the_field() {
+    let discovery = "127.0.0.1:9".parse().expect("an address");
+    let said = |change: &dyn Fn(&mut serde_json::Value), faktory: Option<&str>| {
+        let mut config = config(discovery);
+        change(&mut config);
+        let (mut command, _folder) = Daemon::command(&config, faktory);
+        let done = command.output().expect("the daemon runs");
+        assert!(!done.status.success());
+        String::from_utf8(done.stderr).expect("text")
+    };
+    let all = [
+        said(&|c| c["listen"] = "nowhere".into(), None),
+        said(&|c| c["seed"] = "xyz".into(), None),
+        said(&|c| c["settings"]["me"] = 7.into(), None),
+        said(
+            &|c| drop(c["settings"]["limits"].as_object_mut().expect("limits").remove("conn_idle_ms")),
+            None,
+        ),
+        said(&|c| c["known"] = json!({"rev": "x"}), None),
+        said(&|_| (), Some("enabled = true\nlisten = \"127.0.0.1:0\"\nmax_connections = 0\n")),
+    ];
+    insta::assert_snapshot!(all.concat(), @r#"
+    rookspoke: listen: "nowhere": invalid socket address syntax
+    rookspoke: seed: "xyz"
+    rookspoke: settings.me: 7 (expected a number below balancers)
+    rookspoke: settings.limits.conn_idle_ms: not a time in ms
+    rookspoke: known: invalid type: string "x", expected u64
+    rookspoke: max_connections: 0
+    "#);
+}
