--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -258,8 +258,10 @@
         let over = std::mem::take(&mut self.over);
         // What the actions of this batch lead to belongs to the next one.
         for event in std::mem::take(&mut self.events) {
+            log::trace!("{} event {event:?}", now.ms());
             self.dispatcher.handle(now, event, &mut actions);
             for action in actions.drain(..) {
+                log::trace!("{} action {action:?}", now.ms());
                 self.act(now, action);
             }
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,7 @@
 
 fn main() -> ExitCode {
     logger::start(match std::env::var("ROOKSPOKE_LOG").as_deref() {
+        Ok("trace") => log::LevelFilter::Trace,
         Ok("debug") => log::LevelFilter::Debug,
         Ok("warn") => log::LevelFilter::Warn,
         _ => log::LevelFilter::Info,
