--- /dev/null
+++ b/tests/plugin.rs
@@ -0,0 +1,97 @@
+//! The plug-in in process: an RPC client (tonic's) over the channel, without a daemon between.
+
+mod common;
+
+use std::io::Write;
+
+use bytes::{Buf, BufMut};
+use common::world::{config, objects, serve, state, Behaviour, Discovery, Worker};
+use rookspoke::channel::Channel;
+use rookspoke::config::Config;
+use tonic::codec::{Codec, DecodeBuf, Decoder, EncodeBuf, Encoder};
+use tonic::{Code, Request, Status};
+
+/// Messages of plain text.
+#[derive(Default)]
+struct Text;
+
+impl Codec for Text {
+    type Encode = String;
+    type Decode = String;
+    type Encoder = Text;
+    type Decoder = Text;
+    fn encoder(&mut self) -> Text {
+        Text
+    }
+    fn decoder(&mut self) -> Text {
+        Text
+    }
+}
+
+impl Encoder for Text {
+    type Item = String;
+    type Error = Status;
+    fn encode(&mut self, text: String, to: &mut EncodeBuf<'_>) -> Result<(), Status> {
+        to.put_slice(text.as_bytes());
+        Ok(())
+    }
+}
+
+impl Decoder for Text {
+    type Item = String;
+    type Error = Status;
+    fn decode(&mut self, from: &mut DecodeBuf<'_>) -> Result<Option<String>, Status> {
+        let bytes = from.copy_to_bytes(from.remaining());
+        Ok(Some(String::from_utf8_lossy(&bytes).into_owned()))
+    }
+}
+
+/// One unary call through a channel over a log worker that behaves like this.
+fn call(behaviour: &'static Behaviour) -> (Result<String, Code>, Worker) {
+    let worker = Worker::start("w-1", move |request, to| behaviour(request, to));
+    let discovery = Discovery::of(&[&worker]);
+    let config = Config::read(&config(discovery.address).to_string()).expect("a configuration");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let answer = runtime.block_on(async {
+        let (channel, core) = Channel::start(&config);
+        tokio::spawn(core);
+        channel.ready().await;
+        let mut client = tonic::client::Grpc::new(channel);
+        client.ready().await.expect("a channel is always ready");
+        let mut request = Request::new("who?".to_owned());
+        let metadata = request.metadata_mut();
+        metadata.insert("x-correlation-id", "00000000000000aa".parse().expect("an id"));
+        metadata.insert("x-time-left-ms", "5000".parse().expect("a time"));
+        let path = http::uri::PathAndQuery::from_static("/qso-confirm/station-1");
+        let answer = client.unary(request, path, Text).await;
+        answer.map(|a| a.into_inner()).map_err(|status| status.code())
+    });
+    (answer, worker)
+}
+
+#[test]
+fn a_call_is_served_by_a_log_worker() {
+    // A gRPC message: no compression, five bytes.
+    let (answer, worker) = call(&|request, to| {
+        serve(request, to, "\0\0\0\0\x05it is");
+        true
+    });
+    assert_eq!(answer, Ok("it is".into()));
+    let seen = worker.seen.lock().expect("requests")[0].clone();
+    assert_eq!((seen.first.as_str(), &seen.body[..]), ("POST /qso-confirm/station-1 HTTP/1.1", &b"\0\0\0\0\x04who?"[..]));
+}
+
+/// Only what never ran is `Unavailable`, which clients may try again.
+#[test]
+fn a_refusal_is_unavailable_and_a_failure_is_not() {
+    let (refused, _) = call(&|_, to| {
+        let text = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+        to.write_all(text.as_bytes()).is_ok()
+    });
+    assert_eq!(refused, Err(Code::Unavailable));
+    let (failed, worker) = call(&|request, to| {
+        objects(to, &[state(request, "failed")], true);
+        true
+    });
+    assert_eq!((failed, worker.count()), (Err(Code::Unknown), 1));
+}
