--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -34,7 +34,7 @@
 }
 
 /// A folder of its own for each daemon, removed at the end.
-struct Folder(PathBuf);
+pub struct Folder(PathBuf);
 
 impl Folder {
     fn new() -> Self {
@@ -60,7 +60,8 @@
 }
 
 impl Daemon {
-    pub fn command(config: &Value, faktory: Option<&str>) -> (Command, impl Sized) {
+    /// How to start one, and the folder that must live as long as it.
+    pub fn command(config: &Value, faktory: Option<&str>) -> (Command, Folder) {
         let folder = Folder::new();
         let path = folder.0.join("config.json");
         std::fs::write(&path, config.to_string()).expect("the configuration is written");
@@ -71,13 +72,8 @@
     }
 
     pub fn start(config: &Value, faktory: Option<&str>) -> Self {
-        let folder = Folder::new();
-        let path = folder.0.join("config.json");
-        std::fs::write(&path, config.to_string()).expect("the configuration is written");
-        if let Some(text) = faktory {
-            std::fs::write(folder.0.join("deploy/faktory.toml"), text).expect("the file is written");
-        }
-        let mut child = command(&path, &folder.0).stderr(Stdio::piped()).spawn().expect("the daemon starts");
+        let (mut command, folder) = Self::command(config, faktory);
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the daemon starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, stderr) = (log.clone(), child.stderr.take().expect("standard error"));
         thread::spawn(move || {
