Guard client sockets, judge heads, and move the resolver on SIGHUP

Heads are therefore judged on the bytes that came (guard::framing). - SIGHUP had no handler; the resolver held one address for life, and news that an order cut off between subchannels and decisions would have been lost (the version was noted before it was told).

Advice to come back follows the settings.

--- a/src/api.rs
+++ b/src/api.rs
@@ -420,6 +420,8 @@
     Cancelled,
     /// Never sent.
     NotSent,
+    /// The worker cannot use the request: that is the client's doing, and no other worker can.
+    Unusable,
 }
 
 impl Outcome {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -561,7 +561,7 @@
         match outcome {
             Outcome::Served => w.fails = 0,
             Outcome::TurnedAway => w.full_until = now + FULL_FOR,
-            Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Unusable => return,
             _ => {
                 w.shunned_until = now + Span(SHUN.0 << w.fails.min(SHUN_DOUBLINGS));
                 w.fails += 1;
--- a/src/channel/grpc.rs
+++ b/src/channel/grpc.rs
@@ -5,7 +5,7 @@
 use http::{header, HeaderMap, HeaderName, HeaderValue, Response};
 use http_body_util::{BodyExt, Full};
 
-use super::{BadRequest, ResponseBody, COME_BACK};
+use super::{BadRequest, ResponseBody};
 use crate::dispatch::Answer;
 
 /// A compression flag and a length.
@@ -71,8 +71,9 @@
         }
         Answer::Refused { retry_after } => {
             let mut response = status(UNAVAILABLE, "unavailable");
-            let ms = retry_after.unwrap_or(COME_BACK).ms().ceil().max(0.0) as u64;
-            response.headers_mut().insert(PUSHBACK, ms.into());
+            if let Some(span) = retry_after {
+                response.headers_mut().insert(PUSHBACK, (span.ms().ceil().max(0.0) as u64).into());
+            }
             response
         }
         // Nobody knows whether it ran, so nothing here may call a new try harmless.
--- a/src/channel/mod.rs
+++ b/src/channel/mod.rs
@@ -5,32 +5,34 @@
 mod grpc;
 mod lines;
 mod report;
+mod request;
 pub mod resolver;
 mod subchannel;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use futures_util::future::BoxFuture;
-use http::{header, HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{header, HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use thiserror::Error;
 use tokio::sync::{mpsc, watch, Semaphore};
 use tower::Service;
 
-use crate::api::{ClassId, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span};
+use crate::api::{ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span};
 use crate::config::Config;
 use crate::dispatch::{
     Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
 };
 use crate::wire::Vocabulary;
+use request::{BadRequest, Facts, Head, OpenId, OpenIds};
 use resolver::{Order, Resolver, ResolverResult, Update};
 use subchannel::{Call, Shared, Subchannel};
 
@@ -40,7 +42,7 @@
 /// What a connection holds of a head, and of a body at a time: a thousand connections must fit in memory.
 pub(crate) const MAX_BUFFER: usize = 16 * 1024;
 /// A request whose body takes longer than this to come is given up.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Connections to log workers, as a part of the descriptors: clients need more, and a few are spare.
 const WORKER_PART: f64 = 0.42;
 /// How often idle connections are looked through.
@@ -78,34 +80,10 @@
     words: Arc<Vocabulary>,
     clock: Clock,
     ready: watch::Receiver<bool>,
-}
-
-/// What is wrong with a request, before anything of it was taken.
-#[derive(Debug, Error)]
-enum BadRequest {
-    #[error("only POST hands in a job")]
-    Method,
-    #[error("{0} is missing or makes no sense")]
-    Header(&'static str),
-    #[error("the body is longer than {MAX_BODY} bytes")]
-    TooLong,
-    #[error("the body did not come in time")]
-    TooSlow,
-    #[error("the body broke off")]
-    Broken,
-    #[error("the body is not one uncompressed message")]
-    Frame,
-}
-
-impl BadRequest {
-    fn status(&self) -> StatusCode {
-        match self {
-            BadRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
-            BadRequest::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            BadRequest::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            BadRequest::Header(_) | BadRequest::Broken | BadRequest::Frame => StatusCode::BAD_REQUEST,
-        }
-    }
+    orders: mpsc::Sender<Order>,
+    open_ids: OpenIds,
+    /// What a refused client is told, where the decisions say nothing else; none where it hears no advice.
+    come_back: Option<Span>,
 }
 
 impl Channel {
@@ -133,12 +111,33 @@
         let (orders, inbox) = mpsc::channel(4);
         let (set_ready, ready) = watch::channel(false);
         let fleet = Fleet { shared, subchannels: Arc::default() };
-        let transport = Subchannels { fleet: fleet.clone(), orders };
+        let transport = Subchannels { fleet: fleet.clone(), orders: orders.clone() };
         let (settings, seed) = (config.settings.clone(), config.seed);
         let core = core.run(settings, seed, clock, transport);
         tokio::spawn(fleet.clone().sweep());
         tokio::spawn(discover(config, handle.clone(), fleet, inbox, set_ready));
-        (Channel { handle, words: Arc::new(config.words.clone()), clock, ready }, core)
+        let words = Arc::new(config.words.clone());
+        let limits = &config.settings.limits;
+        let come_back = limits.retry_after.then(|| COME_BACK.min(limits.max_retry_after));
+        let open_ids = OpenIds::default();
+        (Channel { handle, words, clock, ready, orders, open_ids, come_back }, core)
+    }
+
+    /// Adds to a refusal when to come back.
+    fn advise(&self, answer: Answer<Bytes>) -> Answer<Bytes> {
+        match answer {
+            Answer::Refused { retry_after } => {
+                Answer::Refused { retry_after: self.come_back.map(|usual| retry_after.unwrap_or(usual)) }
+            }
+            answer => answer,
+        }
+    }
+
+    /// Follows the list of log workers at another address from now on. Nothing else changes: what is under way
+    /// goes on, and so do connections to log workers that the new list still holds.
+    pub async fn move_discovery(&self, address: SocketAddr) {
+        // The resolver lives as long as the channel's own tasks.
+        let _ = self.orders.send(Order::Move(address)).await;
     }
 
     /// Waits until there is a first list of log workers.
@@ -157,37 +156,19 @@
         self.handle.counters()
     }
 
-    async fn read<B>(&self, request: Request<B>) -> Result<Ask<Arc<Call>>, BadRequest>
+    /// Judges a request, reads its body, and opens its id.
+    async fn read<B>(&self, request: Request<B>) -> Result<(Ask<Arc<Call>>, OpenId), BadRequest>
     where
         B: Body,
         B::Data: Buf,
         B::Error: Into<tower::BoxError>,
     {
         let (parts, body) = request.into_parts();
-        if parts.method != Method::POST {
-            return Err(BadRequest::Method);
+        let Head { class, key, id, time_left, facts, uri } = Head::read(&parts, &self.words)?;
+        // A body that says beforehand that it is too long is not waited for.
+        if body.size_hint().lower() > MAX_BODY as u64 {
+            return Err(BadRequest::TooLong);
         }
-        let text = |name: &'static str| {
-            let value = parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-            value.filter(|v| !v.is_empty()).ok_or(BadRequest::Header(name))
-        };
-        let mut path = parts.uri.path().split('/').filter(|part| !part.is_empty());
-        let first = path.next();
-        let class = text(headers::CLASS).ok().or(first).ok_or(BadRequest::Header(headers::CLASS))?;
-        let class = self.words.classes.iter().position(|c| c.as_ref() == class);
-        let class = ClassId(class.ok_or(BadRequest::Header(headers::CLASS))?);
-        let key = path.next_back().map(Name::from);
-        text(headers::ID)?;
-        let id = parts.headers[headers::ID].clone();
-        let left: Option<u32> = match text(headers::TIME_LEFT) {
-            Ok(left) => left.parse().ok(),
-            Err(_) => grpc::time_left_ms(&parts.headers),
-        };
-        let left = left.ok_or(BadRequest::Header(headers::TIME_LEFT))?;
-        let facts = match text(headers::FACTS) {
-            Ok(facts) => Facts::read(facts)?,
-            Err(_) => Facts::default(),
-        };
         let body = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await;
         let body = body.map_err(|_| BadRequest::TooSlow)?;
         let body = body.map_err(|e| match e.is::<LengthLimitError>() {
@@ -195,14 +176,15 @@
             false => BadRequest::Broken,
         })?;
         // The client's time counts from the request's last byte, which is here now.
-        let deadline = self.clock.now() + Span::from_ms(f64::from(left));
+        let deadline = self.clock.now() + time_left;
         let body = body.to_bytes();
         let body = if grpc::is_call(&parts.headers) { grpc::unframe(body)? } else { body };
+        let open = self.open_ids.open(&id)?;
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
-        let call = Call { method: parts.method, uri: parts.uri, headers, id, body };
+        let call = Call { method: parts.method, uri, headers, id, body };
         let Facts { slots, memory } = facts;
-        Ok(Ask { class, tenant: None, key, slots, memory, deadline, call: Arc::new(call) })
+        Ok((Ask { class, tenant: None, key, slots, memory, deadline, call: Arc::new(call) }, open))
     }
 }
 
@@ -225,12 +207,11 @@
         Box::pin(async move {
             let is_call = grpc::is_call(request.headers());
             Ok(match channel.read(request).await {
-                Ok(ask) => {
-                    let answer = channel.handle.ask(ask).await;
-                    if is_call {
-                        grpc::respond(answer)
-                    } else {
-                        respond(answer)
+                Ok((ask, _open)) => {
+                    let answer = channel.advise(channel.handle.ask(ask).await);
+                    match is_call {
+                        true => grpc::respond(answer),
+                        false => respond(answer),
                     }
                 }
                 Err(bad) => {
@@ -257,47 +238,17 @@
     match answer {
         Answer::Served(result) => Response::new(Full::new(result).boxed()),
         Answer::Refused { retry_after } => {
-            let seconds = retry_after.unwrap_or(COME_BACK).secs();
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
-            let seconds = HeaderValue::from_str(&seconds.to_string()).expect("a number is plain text");
-            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+            if let Some(span) = retry_after {
+                let seconds = HeaderValue::from_str(&span.secs().to_string());
+                response.headers_mut().insert(header::RETRY_AFTER, seconds.expect("a number is plain text"));
+            }
             response
         }
         Answer::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
     }
 }
 
-/// What `X-Facts` tells.
-#[derive(Debug, PartialEq)]
-struct Facts {
-    slots: f64,
-    memory: f64,
-}
-
-impl Default for Facts {
-    fn default() -> Self {
-        Facts { slots: 1.0, memory: 0.0 }
-    }
-}
-
-impl Facts {
-    fn read(text: &str) -> Result<Self, BadRequest> {
-        let mut facts = Facts::default();
-        for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-            let value = || {
-                let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
-                value.ok_or(BadRequest::Header(headers::FACTS))
-            };
-            match name.trim() {
-                "slots" | "cores_needed" => facts.slots = value()?,
-                "memory" | "ram_units" => facts.memory = value()?,
-                _ => {}
-            }
-        }
-        Ok(facts)
-    }
-}
-
 /// Takes out what speaks of one connection alone, and the length, which the connection to the log worker
 /// words itself.
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/src/channel/resolver.rs
+++ b/src/channel/resolver.rs
@@ -116,6 +116,8 @@
     Watch,
     /// Read the whole list once.
     Fetch,
+    /// Discovery is elsewhere now: leave the old address, and follow the list from there.
+    Move(SocketAddr),
 }
 
 /// Follows discovery at one address.
@@ -139,26 +141,39 @@
     {
         let mut order = orders.recv().await;
         while let Some(now) = order.take() {
-            let done = match now {
-                Order::Watch => {
-                    tokio::select! {
-                        done = self.watch(&tell) => done,
-                        // Asked again, the watch starts over from the version held; where the whole list is
-                        // wanted, from none.
-                        Some(next) = orders.recv() => {
-                            self.rev = self.rev.filter(|_| next == Order::Watch);
-                            order = Some(Order::Watch);
-                            continue;
-                        }
-                    }
+            let watched = matches!(now, Order::Watch | Order::Move(_));
+            if let Order::Move(address) = now {
+                log::info!("discovery: moved from {} to {address}", self.address);
+                // What another service calls a version proves nothing here.
+                (self.address, self.rev) = (address, None);
+            }
+            let done = async {
+                match now {
+                    Order::Fetch => self.fetch(&tell).await,
+                    Order::Watch | Order::Move(_) => self.watch(&tell).await,
                 }
-                Order::Fetch => self.fetch(&tell).await,
             };
-            if let Err(error) = done {
-                log::info!("discovery: {error}");
-                tell(ResolverResult::Failed).await;
+            // A new order drops what is under way, and with it the connection.
+            let done = tokio::select! {
+                done = done => Ok(done),
+                Some(next) = orders.recv() => Err(next),
+            };
+            match done {
+                Err(next @ Order::Move(_)) => order = Some(next),
+                // Asked again, the watch starts over from the version held; where the whole list is wanted,
+                // from none.
+                Err(next) => {
+                    self.rev = self.rev.filter(|_| next == Order::Watch);
+                    order = Some(if watched { Order::Watch } else { next });
+                }
+                Ok(done) => {
+                    if let Err(error) = done {
+                        log::info!("discovery: {error}");
+                        tell(ResolverResult::Failed).await;
+                    }
+                    order = orders.recv().await;
+                }
             }
-            order = orders.recv().await;
         }
     }
 
@@ -194,8 +209,10 @@
     {
         let update: Update = serde_json::from_slice(line)?;
         let scope = if update.all { ListScope::Complete } else { ListScope::Changes };
-        self.rev = Some(update.rev);
+        let rev = update.rev;
         tell(ResolverResult::Update(scope, Arc::new(update))).await;
+        // Not before: what an order cuts off here is told again.
+        self.rev = Some(rev);
         Ok(())
     }
 }
--- a/src/channel/subchannel.rs
+++ b/src/channel/subchannel.rs
@@ -214,7 +214,13 @@
             status => {
                 let unseen = response.headers().get(headers::UNPROCESSED).is_some_and(|v| v == "1");
                 let away = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT].contains(&status);
-                let outcome = if unseen && away { Outcome::TurnedAway } else { Outcome::Error };
+                let outcome = match status {
+                    _ if unseen && away => Outcome::TurnedAway,
+                    // These two speak of the moment, not of the request.
+                    StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
+                    _ if status.is_client_error() => Outcome::Unusable,
+                    _ => Outcome::Error,
+                };
                 self.finish(connection, Lines::new(response.into_body()));
                 Ended { result: Err(outcome), load }
             }
--- a/src/config.rs
+++ b/src/config.rs
@@ -70,6 +70,8 @@
     pub conn_idle_ms: f64,
     /// How long a connection may take to come up.
     pub connect_timeout_ms: f64,
+    /// The file as it was read, without the list of log workers, to tell later what has changed in it.
+    file: serde_json::Map<String, Value>,
 }
 
 #[derive(Deserialize)]
@@ -87,22 +89,37 @@
 impl Config {
     /// Reads what the environment and the file that it names say. The environment goes first.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Self::from_file(|file| file.discovery = var("PROXY_DISCOVERY").or(file.discovery.take()))
+    }
+
+    /// Reads the file again. Where discovery is, the file now says: the environment is as old as the process.
+    /// Next to the new configuration, the fields that only a restart can change.
+    pub fn again(&self) -> Result<(Self, Vec<String>), ConfigError> {
+        let present = self.discovery.to_string();
+        let new = Self::from_file(|file| file.discovery = file.discovery.take().or(Some(present)))?;
+        let fields = new.file.keys().chain(self.file.keys().filter(|field| !new.file.contains_key(*field)));
+        let changed = fields.filter(|field| new.file.get(*field) != self.file.get(*field));
+        let changed = changed.filter(|field| *field != "discovery").cloned().collect();
+        Ok((new, changed))
+    }
+
+    fn from_file(discovery: impl FnOnce(&mut File)) -> Result<Self, ConfigError> {
         let path = var("PROXY_CONFIG").ok_or_else(|| ConfigError::new("PROXY_CONFIG", "not set"))?;
         let text = std::fs::read_to_string(path).map_err(|e| ConfigError::new("PROXY_CONFIG", e))?;
-        let mut file = File::read(&text)?;
+        let (mut file, fields) = File::read(&text)?;
         file.name = var("PROXY_NAME").or(file.name);
         file.listen = var("PROXY_LISTEN").or(file.listen);
-        file.discovery = var("PROXY_DISCOVERY").or(file.discovery);
-        Self::new(file)
+        discovery(&mut file);
+        Self::new(file, fields)
     }
 
     /// Reads the text of a configuration file alone, for those who use the plug-in.
     pub fn read(text: &str) -> Result<Self, ConfigError> {
-        Self::new(File::read(text)?)
+        let (file, fields) = File::read(text)?;
+        Self::new(file, fields)
     }
 
-    fn new(file: File) -> Result<Self, ConfigError> {
+    fn new(file: File, fields: serde_json::Map<String, Value>) -> Result<Self, ConfigError> {
         let missing = |field: &str| ConfigError::new(field, "missing");
         let addr = |field: &str, text: Option<String>| {
             let text = text.ok_or_else(|| missing(field))?;
@@ -145,16 +162,26 @@
             class_time,
             conn_idle_ms: millis("conn_idle_ms")?,
             connect_timeout_ms: millis("connect_timeout_ms")?,
+            file: fields,
         })
     }
 }
 
 impl File {
-    fn read(text: &str) -> Result<Self, ConfigError> {
-        serde_json::from_str(text).map_err(|e| ConfigError::new("PROXY_CONFIG", e))
+    /// The file, and its fields as they stand in it.
+    fn read(text: &str) -> Result<(Self, serde_json::Map<String, Value>), ConfigError> {
+        let bad = |e| ConfigError::new("PROXY_CONFIG", e);
+        let mut fields: serde_json::Map<String, Value> = serde_json::from_str(text).map_err(bad)?;
+        let file = File::deserialize(Value::Object(fields.clone())).map_err(bad)?;
+        fields.remove("known");
+        Ok((file, fields))
     }
 }
 
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
 /// Nested settings as the simulator's pairs, so that one parser reads both.
 fn flatten(settings: &Value) -> Vec<String> {
     let mut pairs = Vec::new();
--- a/src/dispatch/counters.rs
+++ b/src/dispatch/counters.rs
@@ -31,6 +31,8 @@
     malformed,
     /// Requests turned down before they were taken, for what the front knows.
     turned_down,
+    /// Client connections closed before their time: silent for too long, or to make room.
+    closed,
     /// Requests turned down before they were taken, for want of room.
     overload,
     /// Answers: served.
@@ -39,6 +41,8 @@
     refused,
     /// Answers: failed.
     failed,
+    /// Among the failed: requests that a log worker could not use.
+    unusable,
     /// Clients that left before their answer.
     client_gone,
     /// Call attempts that a transport was given.
--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -234,6 +234,14 @@
                 }
                 Outcome::Served
             }
+            // No other log worker can use it either, so this is the end.
+            Err(Outcome::Unusable) => {
+                if self.ledger.answer(request, Some(Answer::Failed)) {
+                    self.counters.failed.add();
+                    self.counters.unusable.add();
+                }
+                Outcome::Unusable
+            }
             Err(outcome) => outcome,
         };
         match outcome {
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,48 +1,67 @@
 //! The daemon's HTTP front: a server over the same service that a plug-in uses.
 
 use std::convert::Infallible;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::future::Future;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode};
+use http::{header, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Semaphore};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 use tower::Service;
 
 use crate::channel::{plain, Channel, ResponseBody, MAX_BUFFER};
+use crate::guard::{Framed, Patience, Place, Room, Socket};
 
 const READY: &str = "/health/ready";
-/// A request's head must come within this time.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Clients that say nothing are told so within 3 s of connecting: this leaves a second for a late turn.
+const PATIENCE: Patience = Patience {
+    first: Duration::from_secs(2),
+    part: Duration::from_secs(5),
+    idle: Duration::from_secs(60),
+    unread: Duration::from_secs(10),
+};
+/// How often connections are looked through for those that took too long.
+const SWEEP: Duration = Duration::from_millis(100);
 /// Pause after an accept that failed: most likely descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Connections accepted in a row, before everything else gets its turn.
+const ACCEPTS: u32 = 16;
 /// After being told to end, clients keep coming for up to 0.4 s; this is longer.
 const GRACE: Duration = Duration::from_millis(600);
+/// A request that has reached the machine by the end is read within this time.
+const LAST_LOOK: Duration = Duration::from_millis(100);
 
 /// Serves clients on a listener.
 pub struct Front {
     channel: Channel,
     /// Places for client connections.
-    room: Arc<Semaphore>,
+    room: Room,
     leaving: Arc<AtomicBool>,
 }
 
 impl Front {
     /// A front with places for `connections` clients.
     pub fn new(channel: Channel, connections: usize) -> Self {
-        Front { channel, room: Arc::new(Semaphore::new(connections)), leaving: Arc::default() }
+        Front { channel, room: Room::new(connections, PATIENCE), leaving: Arc::default() }
     }
 
     /// Serves until `stop` ends; then goes on for a while, and ends when all that it took is answered.
-    pub async fn serve(self, listener: TcpListener, stop: impl std::future::Future<Output = ()>) {
+    pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
         let (close, closing) = watch::channel(false);
         let mut connections = JoinSet::new();
+        let mut sweep = tokio::time::interval(SWEEP);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        // Accepted, and waiting for somebody else to leave.
+        let mut waiting: Option<Socket> = None;
+        let mut accepts = 0;
         let mut stop = std::pin::pin!(async {
             stop.await;
             log::info!("told to end; clients have {GRACE:?} more");
@@ -50,55 +69,104 @@
             tokio::time::sleep(GRACE).await;
         });
         loop {
+            if let Some(socket) = waiting.take() {
+                match self.room.enter(socket.unread()) {
+                    Some(place) => self.open(socket, place, &mut connections, closing.clone()),
+                    None => waiting = Some(socket),
+                }
+            }
             tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.open(stream, &mut connections, closing.clone()),
+                accepted = listener.accept(), if waiting.is_none() => match accepted {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nodelay(true);
+                        waiting = Some(Socket::new(stream));
+                        accepts += 1;
+                        if accepts % ACCEPTS == 0 {
+                            tokio::task::yield_now().await;
+                        }
+                    }
                     Err(error) => {
                         log::warn!("accept: {error}");
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
                 },
+                () = self.room.freed(), if waiting.is_some() => {}
                 Some(_) = connections.join_next() => {}
+                _ = sweep.tick() => self.room.sweep(),
                 () = &mut stop => break,
             }
         }
         // A client whose connection waits here unaccepted would see a reset.
-        while let Ok(Ok((stream, _))) =
-            tokio::time::timeout(Duration::from_millis(1), listener.accept()).await
-        {
-            self.open(stream, &mut connections, closing.clone());
+        while let Some(socket) = match waiting.take() {
+            Some(socket) => Some(socket),
+            None => match tokio::time::timeout(Duration::from_millis(1), listener.accept()).await {
+                Ok(Ok((stream, _))) => Some(Socket::new(stream)),
+                _ => None,
+            },
+        } {
+            let place = self.room.squeeze_in(socket.unread());
+            self.open(socket, place, &mut connections, closing.clone());
         }
         drop(listener);
         close.send_replace(true);
-        while connections.join_next().await.is_some() {}
+        loop {
+            tokio::select! {
+                ended = connections.join_next() => if ended.is_none() { return },
+                _ = sweep.tick() => self.room.sweep(),
+            }
+        }
     }
 
-    fn open(&self, stream: TcpStream, connections: &mut JoinSet<()>, mut closing: watch::Receiver<bool>) {
-        let Ok(room) = self.room.clone().try_acquire_owned() else {
-            // Closed unread: nothing was taken.
-            log::warn!("no room for another client connection");
-            return;
-        };
-        let _ = stream.set_nodelay(true);
-        let (channel, leaving) = (self.channel.clone(), self.leaving.clone());
+    fn open(
+        &self,
+        socket: Socket,
+        place: Place,
+        connections: &mut JoinSet<()>,
+        mut closing: watch::Receiver<bool>,
+    ) {
+        let (channel, leaving, answers) =
+            (self.channel.clone(), self.leaving.clone(), Arc::new(AtomicU64::new(0)));
+        let counters = channel.counters().clone();
+        let unread = socket.unread();
+        let framed = Framed::new(socket, place.clone(), answers.clone());
         connections.spawn(async move {
-            let _room = room;
             let service = service_fn(move |request| {
-                let (channel, leaving) = (channel.clone(), leaving.clone());
-                async move { route(channel, leaving.load(Ordering::Acquire), request).await }
+                let (channel, leaving, answers) = (channel.clone(), leaving.clone(), answers.clone());
+                async move {
+                    let response = route(channel, leaving.load(Ordering::Acquire), request).await;
+                    answers.fetch_add(1, Ordering::AcqRel);
+                    response
+                }
             });
             let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
                 .max_buf_size(MAX_BUFFER)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(framed), service);
             let mut connection = std::pin::pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                _ = closing.wait_for(|closing| *closing) => {}
+            let mut told_to_end = false;
+            loop {
+                tokio::select! {
+                    // The connection first: what has come saves it from having to leave.
+                    biased;
+                    done = connection.as_mut() => {
+                        if done.is_err_and(|error| error.is_parse()) {
+                            counters.malformed.add();
+                        }
+                        return;
+                    }
+                    () = place.told_to_leave() => if place.must_leave() {
+                        counters.closed.add();
+                        return;
+                    },
+                    () = async { drop(closing.wait_for(|closing| *closing).await) }, if !told_to_end => {
+                        // A shut-down library reads nothing more, not even what is here already.
+                        if unread() {
+                            let _ = tokio::time::timeout(LAST_LOOK, connection.as_mut()).await;
+                        }
+                        told_to_end = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
             }
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
         });
     }
 }
@@ -114,5 +182,10 @@
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         });
     }
-    channel.call(request).await
+    let Ok(mut response) = channel.call(request).await;
+    // Its body was not read: where the next request begins, nobody knows.
+    if let StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT = response.status() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatch;
 pub mod faktory;
 pub mod front;
+pub mod guard;
 pub mod logger;
 pub mod vrrp;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -50,6 +50,8 @@
     counters: Vec<(&'static str, Arc<Counters>)>,
     vrrp: Option<Arc<vrrp::VrrpCounters>>,
     stop: watch::Sender<bool>,
+    /// Once the HTTP front is up.
+    channel: Option<Channel>,
 }
 
 impl Daemon {
@@ -76,12 +78,29 @@
         let (channel, core) = Channel::start(config);
         self.counters.push(("http", channel.counters().clone()));
         self.cores.spawn(async move { log::error!("the http core ended: {:?}", core.await) });
+        self.channel = Some(channel.clone());
         let front = Front::new(channel, (config.limits.sockets as f64 * CLIENT_PART) as usize);
         self.parts.spawn(front.serve(listener, self.stopped()));
         log::info!("{}: http listens at {at}", config.name);
         Ok(())
     }
 
+    /// Reads the configuration again. One that makes no sense changes nothing.
+    async fn reload(&self, config: &mut Config) {
+        let (new, changed) = match config.again() {
+            Ok(new) => new,
+            Err(error) => return log::warn!("told to reload; the configuration stays as it is: {error}"),
+        };
+        log::info!("told to reload; discovery is at {}", new.discovery);
+        if !changed.is_empty() {
+            log::warn!("changed, and heeded only after a restart: {}", changed.join(", "));
+        }
+        if let (Some(channel), true) = (&self.channel, new.discovery != config.discovery) {
+            channel.move_discovery(new.discovery).await;
+        }
+        config.discovery = new.discovery;
+    }
+
     async fn start_faktory(&mut self, config: &Config, faktory: &FaktoryConfig) -> Result<(), ConfigError> {
         let listener = TcpListener::bind(faktory.listen).await;
         let listener = listener.map_err(|e| ConfigError::new("faktory.listen", e))?;
@@ -108,6 +127,11 @@
 }
 
 async fn run() -> Result<ExitCode, ConfigError> {
+    // First of all: unheeded, any of these ends the process.
+    let heed = |name, kind| signal(kind).map_err(|e| ConfigError::new(name, e));
+    let mut terminate = heed("SIGTERM", SignalKind::terminate())?;
+    let mut report = heed("SIGUSR1", SignalKind::user_defined1())?;
+    let mut reload = heed("SIGHUP", SignalKind::hangup())?;
     let mut config = Config::from_env()?;
     let faktory = FaktoryConfig::read(Path::new(FAKTORY))?;
     if let Some(faktory) = &faktory {
@@ -117,14 +141,13 @@
         config.limits.sockets =
             left.ok_or_else(|| ConfigError::new("max_connections", "too many for limits.sockets"))?;
     }
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| ConfigError::new("SIGTERM", e))?;
-    let mut report = signal(SignalKind::user_defined1()).map_err(|e| ConfigError::new("SIGUSR1", e))?;
     let mut daemon = Daemon {
         parts: JoinSet::new(),
         cores: JoinSet::new(),
         counters: Vec::new(),
         vrrp: None,
         stop: watch::Sender::new(false),
+        channel: None,
     };
     if let Some(faktory) = &faktory {
         daemon.start_faktory(&config, faktory).await?;
@@ -136,6 +159,7 @@
                 daemon.stop.send_replace(true);
             }
             _ = report.recv() => daemon.report(""),
+            _ = reload.recv() => daemon.reload(&mut config).await,
             Some(ended) = daemon.parts.join_next() => {
                 if let Err(error) = ended {
                     log::error!("a part failed: {error}");
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -56,7 +56,7 @@
 pub struct Daemon {
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl Daemon {
@@ -72,7 +72,17 @@
     }
 
     pub fn start(config: &Value, faktory: Option<&str>) -> Self {
-        let (mut command, folder) = Self::command(config, faktory);
+        Self::spawn(Self::command(config, faktory))
+    }
+
+    /// With these variables in its environment.
+    pub fn start_with(config: &Value, variables: &[(&str, String)]) -> Self {
+        let (mut command, folder) = Self::command(config, None);
+        command.envs(variables.iter().cloned());
+        Self::spawn((command, folder))
+    }
+
+    fn spawn((mut command, folder): (Command, Folder)) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the daemon starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, stderr) = (log.clone(), child.stderr.take().expect("standard error"));
@@ -81,7 +91,7 @@
                 lines.lock().expect("the log").push(line);
             }
         });
-        Daemon { child, log, _folder: folder }
+        Daemon { child, log, folder }
     }
 
     /// A daemon in front of these log workers, once it is ready for clients.
@@ -91,6 +101,11 @@
         daemon
     }
 
+    /// Puts another text in the place of its configuration.
+    pub fn replace(&self, text: &str) {
+        std::fs::write(self.folder.0.join("config.json"), text).expect("the configuration is written");
+    }
+
     /// Waits for a line that holds `text`, and returns it.
     pub fn wait_log(&self, text: &str) -> String {
         let found = || self.log.lock().expect("the log").iter().find(|l| l.contains(text)).cloned();
@@ -328,6 +343,8 @@
     news: Arc<Mutex<Vec<mpsc::Sender<String>>>>,
     list: Arc<Mutex<Vec<Value>>>,
     pub watches: Arc<AtomicU32>,
+    /// Watches that have not ended, as far as has been noticed.
+    pub open: Arc<AtomicU32>,
 }
 
 impl Discovery {
@@ -336,8 +353,14 @@
         let address = listener.local_addr().expect("an address");
         let news: Arc<Mutex<Vec<mpsc::Sender<String>>>> = Arc::default();
         let (list, watches) = (Arc::new(Mutex::new(list)), Arc::new(AtomicU32::new(0)));
-        let discovery =
-            Discovery { address, news: news.clone(), list: list.clone(), watches: watches.clone() };
+        let open = Arc::new(AtomicU32::new(0));
+        let discovery = Discovery {
+            address,
+            news: news.clone(),
+            list: list.clone(),
+            watches: watches.clone(),
+            open: open.clone(),
+        };
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (sender, told) = mpsc::channel();
@@ -348,7 +371,12 @@
                     json!({"rev": 1, "all": true, "targets": *list}).to_string()
                 };
                 watches.fetch_add(1, Ordering::SeqCst);
-                thread::spawn(move || watch(stream, first, &told));
+                open.fetch_add(1, Ordering::SeqCst);
+                let open = open.clone();
+                thread::spawn(move || {
+                    watch(stream, first, &told);
+                    open.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         });
         discovery
