Serve on while ending, watch the list from the start, use far workers before refusing

The log of each connection's end shows why: idle clients were closed 0.6 s after SIGTERM, while one or two long jobs kept the process alive until it was killed at 3.78 s; with one dispatcher a site those clients had nowhere to go. Then the new process waited a second for its list: brain spreads its first call over a quarter of ask_every (2.5 s here), and channel::PATIENCE ended the wait. - 29 % of the requests of a burst at one dispatcher were refused as late while the other refused none: choose() looks at two far workers at most, never asks them for a report, and takes them for as full as the near ones. Checked: the first try at serving on lost one request, taken in that time and unanswered at the kill; what is taken then now has its deadline before it. Ruled out: CPU, descriptors, discovery (told at once).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,7 @@
 const LEAST_LEFT: f64 = 0.02; // the part of a reserved kind that jobs with a choice keep
 const PROBE_AFTER: Span = Span(700_000); // age of news after which a worker looked at is probed
 const PROBES: usize = 2; // at most, for a job
+const FIRST_PROBES: usize = 8; // at most, in a round, to workers that never reported
 const WAITS: Span = Span(60_000); // a job not started after this waits in a queue: no slot is free there
 const HURRY: f64 = 0.25; // part of its aim after which a job not started is offered to another worker,
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
@@ -125,6 +126,12 @@
             let oldest = now - TABLE_MEMORY;
             self.table.retain(|_, t| t.demand.at >= oldest);
             self.reserve();
+            // A worker's slots show in the report of an idle one; under load they are taken for fewer.
+            if self.s.reporting == Reporting::Probe && self.s.limits.probes {
+                let ready = self.fleet.ready.clone();
+                let unknown = self.fleet.probe_stale(ready.iter(), Time(i64::MIN), FIRST_PROBES);
+                out.extend(unknown.into_iter().map(Action::Probe));
+            }
             let follows = self.s.discovery == Discovery::Automatic || self.asking.subscribed;
             if !follows && now >= self.asking.next {
                 out.push(Action::Subscribe);
@@ -395,12 +402,22 @@
             best = self.least_loaded(t.workers.iter().chain(next).copied().filter(fits));
             best = best.or_else(|| self.least_loaded(t.far.iter().copied().filter(fits).take(far)));
         }
+        // Where it would start too late, a worker beyond the key's own that would not is worth a fetch.
+        let late = |id: Wid| self.fleet.get(id).map_or(1.0, |w| self.late_chance(w, job));
+        let full = best.is_none_or(|id| late(id) > LATE);
+        if full && !job.over_share {
+            let all = t.near.iter().chain(&t.far).copied().filter(fits).map(|id| (late(id), id));
+            let other = all.filter(|o| o.0 <= HURRY_LATE).min_by(|a, b| a.0.total_cmp(&b.0));
+            best = other.map(|o| o.1).or(best);
+        }
         // A repeat is bound to its group, which the key's order may not hold.
         if best.is_none() && job.may_have_run() {
             best = self.least_loaded(self.fleet.ready.iter().copied().filter(fits));
         }
         if self.s.reporting == Reporting::Probe && self.s.limits.probes {
-            let looked_at = best.iter().chain(&t.workers).chain(&t.near).take(SAMPLE + 1);
+            // Of other zones there is no news until it is asked for.
+            let far = t.far.iter().take(if full { SAMPLE } else { 0 });
+            let looked_at = far.chain(&best).chain(&t.workers).chain(&t.near).take(SAMPLE + 1);
             let stale = self.fleet.probe_stale(looked_at, self.now - PROBE_AFTER, PROBES);
             out.extend(stale.into_iter().map(Action::Probe));
         }
--- a/src/channel/mod.rs
+++ b/src/channel/mod.rs
@@ -13,9 +13,9 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes};
 use futures_util::future::BoxFuture;
@@ -26,7 +26,7 @@
 use tokio::sync::{mpsc, watch, Semaphore};
 use tower::Service;
 
-use crate::api::{ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span};
+use crate::api::{ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time};
 use crate::config::Config;
 use crate::dispatch::{
     Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -84,6 +84,8 @@
     open_ids: OpenIds,
     /// What a refused client is told, where the decisions say nothing else; none where it hears no advice.
     come_back: Option<Span>,
+    /// When the process ends, once that is known.
+    end: Arc<OnceLock<Time>>,
 }
 
 impl Channel {
@@ -109,6 +111,9 @@
             max_idle: millis(config.conn_idle_ms * IDLE_PART),
         });
         let (orders, inbox) = mpsc::channel(4);
+        // The decisions spread their first call over seconds; a dispatcher that has just started is of no use
+        // until its list is there.
+        let _ = orders.try_send(Order::Watch);
         let (set_ready, ready) = watch::channel(false);
         let fleet = Fleet { shared, subchannels: Arc::default() };
         let transport = Subchannels { fleet: fleet.clone(), orders: orders.clone() };
@@ -120,7 +125,8 @@
         let limits = &config.settings.limits;
         let come_back = limits.retry_after.then(|| COME_BACK.min(limits.max_retry_after));
         let open_ids = OpenIds::default();
-        (Channel { handle, words, clock, ready, orders, open_ids, come_back }, core)
+        let end = Arc::default();
+        (Channel { handle, words, clock, ready, orders, open_ids, come_back, end }, core)
     }
 
     /// Adds to a refusal when to come back.
@@ -140,6 +146,11 @@
         let _ = self.orders.send(Order::Move(address)).await;
     }
 
+    /// Answers all that is taken from now on within this time.
+    pub fn end_within(&self, time: Duration) {
+        let _ = self.end.set(self.clock.at(Instant::now() + time));
+    }
+
     /// Waits until there is a first list of log workers.
     pub async fn ready(&self) {
         // The sender lives as long as the channel's own tasks.
@@ -177,6 +188,7 @@
         })?;
         // The client's time counts from the request's last byte, which is here now.
         let deadline = self.clock.now() + time_left;
+        let deadline = self.end.get().map_or(deadline, |end| deadline.min(*end));
         let body = body.to_bytes();
         let body = if grpc::is_call(&parts.headers) { grpc::unframe(body)? } else { body };
         let open = self.open_ids.open(&id)?;
--- a/src/channel/subchannel.rs
+++ b/src/channel/subchannel.rs
@@ -30,6 +30,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// What follows the object that ends an attempt is read for this long, so that the connection can be kept.
 const TAIL_TIMEOUT: Duration = Duration::from_millis(500);
+/// A log worker not heard of for this long may have vanished with its machine: what is written to a kept
+/// connection then hangs to its deadline, while a new connection fails at once and proves that nothing ran.
+const UNHEARD: Duration = Duration::from_millis(1500);
 
 /// What of a request goes to a log worker, as it came.
 #[derive(Debug)]
@@ -66,6 +69,8 @@
     /// The start of the log worker's process.
     epoch: AtomicU64,
     idle: Mutex<VecDeque<Connection>>,
+    /// When its machine last gave a sign of life.
+    heard: Mutex<Instant>,
 }
 
 /// The way to one log worker; clones share it.
@@ -94,6 +99,7 @@
             ready: AtomicBool::new(false),
             epoch: AtomicU64::new(0),
             idle: Mutex::default(),
+            heard: Mutex::new(Instant::now()),
         }))
     }
 
@@ -122,8 +128,15 @@
         lock(&self.0.idle).retain(|c| !c.is_closed() && c.idle_since.elapsed() < max);
     }
 
+    fn hears(&self) {
+        *lock(&self.0.heard) = Instant::now();
+    }
+
     fn reuse(&self) -> Option<Connection> {
         self.sweep();
+        if lock(&self.0.heard).elapsed() > UNHEARD {
+            return None;
+        }
         // The newest first: the others get the chance to grow old.
         lock(&self.0.idle).pop_back()
     }
@@ -143,10 +156,18 @@
             Outcome::NotSent
         })?;
         let (address, epoch) = (*lock(&self.0.address), self.0.epoch.load(Ordering::Acquire));
-        Connection::open(address, shared.connect_timeout, epoch, room).await.map_err(|error| {
-            log::debug!("{}: no connection: {error}", self.0.name);
-            Outcome::NoConnection
-        })
+        match Connection::open(address, shared.connect_timeout, epoch, room).await {
+            Ok(connection) => {
+                self.hears();
+                Ok(connection)
+            }
+            Err(error) => {
+                log::debug!("{}: no connection: {error}", self.0.name);
+                // The kept ones lead to the same place.
+                self.close_idle();
+                Err(Outcome::NoConnection)
+            }
+        }
     }
 
     /// Sends a request on a kept connection or a new one. A kept one that turns out closed before the last
@@ -208,6 +229,7 @@
             Ok(done) => done,
             Err(outcome) => return outcome.into(),
         };
+        self.hears();
         let load = load_header(response.headers(), &shared.words);
         match response.status() {
             StatusCode::OK => self.follow(attempt, connection, response, load).await,
@@ -241,6 +263,7 @@
         let result = loop {
             // Whatever ends the answer early, the job may have run.
             let Ok(Some(line)) = lines.next().await else { break Err(Outcome::ConnectionLost) };
+            self.hears();
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
@@ -310,6 +333,7 @@
         };
         let probe = async {
             let (connection, response) = self.exchange(request, 0, || true).await?;
+            self.hears();
             let outcome = if response.status().is_success() { Outcome::Served } else { Outcome::Error };
             let header = load_header(response.headers(), &shared.words);
             let body = Lines::new(response.into_body()).all().await.map_err(|_| Outcome::ConnectionLost)?;
--- a/src/dispatch/task.rs
+++ b/src/dispatch/task.rs
@@ -155,6 +155,7 @@
                     return;
                 }
                 self.counters.taken.add();
+                log::debug!("request {id} class {:?}", ask.class);
                 self.ledger.open(id, ask.call, ask.deadline, answer);
                 self.events.push_back(Event::Request(Request {
                     id,
@@ -251,6 +252,9 @@
             _ => self.counters.attempts_failed.add(),
         }
         let closed = self.ledger.get_mut(request).is_none_or(|e| e.answered());
+        if outcome != Outcome::Served {
+            log::debug!("request {request}: attempt {attempt} ended after {} ms: {outcome:?}", latency.ms());
+        }
         self.over.push(request);
         let end = AttemptEnd { request, attempt, outcome, latency, closed, load };
         self.events.push_back(Event::Outcome(end));
@@ -287,12 +291,14 @@
                 }
             }
             Action::Refuse { request, retry_after } => {
+                log::debug!("request {request} is refused by the decisions");
                 if self.ledger.answer(request, Some(Answer::Refused { retry_after })) {
                     self.over.push(request);
                     self.counters.refused.add();
                 }
             }
             Action::Fail(request) => {
+                log::debug!("request {request} is failed by the decisions");
                 if self.ledger.answer(request, Some(Answer::Failed)) {
                     self.over.push(request);
                     self.counters.failed.add();
--- a/src/front.rs
+++ b/src/front.rs
@@ -36,6 +36,12 @@
 const ACCEPTS: u32 = 16;
 /// After being told to end, clients keep coming for up to 0.4 s; this is longer.
 const GRACE: Duration = Duration::from_millis(600);
+/// Clients that are connected are served on for this long at most after that, while requests taken before are
+/// still under way: where no other dispatcher is near, they have nowhere else to go.
+const STAY: Duration = Duration::from_millis(1200);
+/// What they ask for is answered this long after `GRACE` at the latest: the process may be killed 3.7 s after
+/// it was told to end.
+const FINISH: Duration = Duration::from_millis(2600);
 /// A request that has reached the machine by the end is read within this time.
 const LAST_LOOK: Duration = Duration::from_millis(100);
 
@@ -108,11 +114,19 @@
             self.open(socket, place, &mut connections, closing.clone());
         }
         drop(listener);
-        close.send_replace(true);
+        // Until the last of what was taken so far is answered the process stays anyway: for a while it goes on
+        // serving those that are connected.
+        self.channel.end_within(FINISH);
+        let mut last = std::pin::pin!(async {
+            let _ = tokio::time::timeout(STAY, self.room.settled()).await;
+            close.send_replace(true);
+            std::future::pending().await
+        });
         loop {
             tokio::select! {
                 ended = connections.join_next() => if ended.is_none() { return },
                 _ = sweep.tick() => self.room.sweep(),
+                () = &mut last => {}
             }
         }
     }
--- a/src/guard/room.rs
+++ b/src/guard/room.rs
@@ -19,6 +19,9 @@
     pub unread: Duration,
 }
 
+/// How often those who wait for the room to settle look again.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// What a connection is at; in the order in which they have to leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
@@ -103,6 +106,19 @@
         self.0.freed.notified().await;
     }
 
+    /// Ends when everybody who is owed an answer now has it.
+    pub async fn settled(&self) {
+        let owed = |seat: &Seat| seat.stage >= Stage::Answered;
+        let open: Vec<(u64, Instant)> =
+            self.0.lock().taken.iter().filter(|(_, s)| owed(s)).map(|(n, s)| (*n, s.since)).collect();
+        let under_way = |(number, since): &(u64, Instant)| {
+            self.0.lock().taken.get(number).is_some_and(|seat| owed(seat) && seat.since == *since)
+        };
+        while open.iter().any(under_way) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Tells those to leave who took too long.
     pub fn sweep(&self) {
         let (now, patience) = (Instant::now(), self.0.patience);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -45,6 +45,36 @@
     assert_ne!(sends[0], sends[11], "Full takes nothing more");
 }
 
+/// The key's own few workers are no reason to refuse what the rest of the fleet would start in time.
+#[test]
+fn a_worker_elsewhere_takes_what_would_start_too_late_near() {
+    let mut s = settings(&[Effect::Safe]);
+    s.zones.push("there".into());
+    let mut host = Host::new(s, 0);
+    let there = |at| Listing { zone: if at == 0 { "here" } else { "there" }.into(), ..listing(at) };
+    host.tell(list(ListScope::Complete, (0..7).map(there).collect()));
+    let sends: Vec<_> = (0..40).map(|id| sent_to(&host.ask(id, 0, Some("k")))).collect();
+    assert!(sends.iter().all(Option::is_some), "{sends:?}");
+}
+
+/// A report under load shows fewer slots than there are: the first one has to come early.
+#[test]
+fn workers_that_never_reported_are_probed_before_any_job_comes() {
+    let mut s = settings(&[Effect::Safe]);
+    s.reporting = Reporting::Probe;
+    let mut host = Host::new(s, 0);
+    let probed = |actions: Vec<Action>| actions.iter().filter(|a| matches!(a, Action::Probe(_))).count();
+    host.ms += 300.0;
+    assert_eq!(probed(host.tell(list(ListScope::Complete, (0..5).map(listing).collect()))), 5);
+    let (outcome, latency) = (Outcome::Served, Span::from_ms(1.0));
+    let load = LoadReport { free_slots: Some(4.0), ..LoadReport::default() };
+    for at in 0..5 {
+        host.tell(Event::Probed { worker: listing(at).worker, outcome, latency, load: Some(load) });
+    }
+    host.ms += 300.0;
+    assert_eq!(probed(host.tell(Event::Timer(0))), 0);
+}
+
 #[test]
 fn a_worker_that_turned_a_job_away_counts_as_full_for_a_moment() {
     let mut host = Host::new(settings(&[Effect::Unsafe]), 4);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -187,6 +187,62 @@
     assert_eq!((one.count(), two.count()), (before, 20));
 }
 
+/// The decisions spread their first call over a quarter of `ask_every`; a dispatcher without a list is of no use.
+#[test]
+fn the_list_is_asked_for_at_the_start() {
+    let worker = Worker::serving("w-1");
+    let mut config = config(Discovery::of(&[&worker]).address);
+    config["settings"]["rules"]["ask_every_ms"] = json!(1e7);
+    Daemon::start(&config, None).wait_ready();
+}
+
+/// A machine that vanishes leaves its connections open and silent: what is written to one hangs there, and may
+/// not go elsewhere.
+#[test]
+fn a_kept_connection_to_a_log_worker_unheard_for_long_is_replaced() {
+    let worker = Worker::serving("w-1");
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    assert_eq!(ask(http, &post("qso-confirm", "0000000000000001", 5000, "")).status, 200);
+    assert_eq!(ask(http, &post("qso-confirm", "0000000000000002", 5000, "")).status, 200);
+    std::thread::sleep(std::time::Duration::from_millis(2000));
+    assert_eq!(ask(http, &post("qso-confirm", "0000000000000003", 5000, "")).status, 200);
+    assert_eq!(worker.connections.load(Ordering::SeqCst), 2);
+}
+
+/// A client whose connection stays open has nowhere better to go while others keep the process alive anyway.
+#[test]
+fn told_to_end_it_serves_those_who_are_connected_while_others_wait() {
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = Mutex::new(Some(wait));
+    let worker = Worker::start("w-1", move |request, to| {
+        if request.first.contains("qso-confirm") {
+            let _ = wait.lock().expect("the first").take().expect("one").recv();
+        }
+        serve(request, to, "fine");
+        true
+    });
+    let mut daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let mut owed = BufReader::new(send(http, &post("qso-confirm", "0000000000000001", 20_000, "")));
+    wait_for("the job", || (worker.count() == 1).then_some(()));
+    let mut kept = BufReader::new(send(http, b""));
+    let mut next = 2;
+    let mut asks = || {
+        next += 1;
+        let sent = kept.get_mut().write_all(&post("log-lookup", &format!("{next:016x}"), 5000, ""));
+        sent.ok().and_then(|()| read_message(&mut kept)).map(|answer| answer.status)
+    };
+    assert_eq!(asks(), Some(200));
+    daemon.signal("TERM");
+    wait_for("the end of the listener", || std::net::TcpStream::connect(http).is_err().then_some(()));
+    assert_eq!(asks(), Some(200));
+    wait_for("the end of the connection", || (asks().is_none()).then_some(()));
+    go.send(()).expect("the log worker waits");
+    assert_eq!(read_message(&mut owed).expect("an answer").status, 200);
+    assert!(daemon.wait_exit().success());
+}
+
 #[test]
 fn without_discovery_the_known_list_has_to_do() {
     let worker = Worker::serving("w-1");
