Distrust kept connections for confirmations after one broke; one room for both fronts

Now a new outcome, Severed, blames nobody, and confirmations avoid kept connections for 30 s after one.

Faktory: accepting, places and eviction are the guard's now, with HELLO within 3 s.

--- a/src/api.rs
+++ b/src/api.rs
@@ -420,6 +420,8 @@
     Cancelled,
     /// Never sent.
     NotSent,
+    /// A connection kept from earlier broke before any answer: it may have run, and the worker may be well.
+    Severed,
     /// The worker cannot use the request: that is the client's doing, and no other worker can.
     Unusable,
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -578,7 +578,7 @@
         match outcome {
             Outcome::Served => w.fails = 0,
             Outcome::TurnedAway => w.full_until = now + FULL_FOR,
-            Outcome::Cancelled | Outcome::NotSent | Outcome::Unusable => return,
+            Outcome::Cancelled | Outcome::NotSent | Outcome::Severed | Outcome::Unusable => return,
             _ => {
                 w.shunned_until = now + Span(SHUN.0 << w.fails.min(SHUN_DOUBLINGS));
                 w.fails += 1;
--- a/src/channel/mod.rs
+++ b/src/channel/mod.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{mpsc, watch, Semaphore};
 use tower::Service;
 
-use crate::api::{ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time};
+use crate::api::{Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time};
 use crate::config::Config;
 use crate::dispatch::{
     Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -86,6 +86,8 @@
     come_back: Option<Span>,
     /// When the process ends, once that is known.
     end: Arc<OnceLock<Time>>,
+    /// For each class, whether its requests must never run twice.
+    once: Arc<[bool]>,
 }
 
 impl Channel {
@@ -109,6 +111,7 @@
             room: Arc::new(Semaphore::new((sockets as f64 * WORKER_PART) as usize)),
             connect_timeout: millis(config.connect_timeout_ms),
             max_idle: millis(config.conn_idle_ms * IDLE_PART),
+            severed: std::sync::Mutex::default(),
         });
         let (orders, inbox) = mpsc::channel(4);
         // The decisions spread their first call over seconds; a dispatcher that has just started is of no use
@@ -126,7 +129,8 @@
         let come_back = limits.retry_after.then(|| COME_BACK.min(limits.max_retry_after));
         let open_ids = OpenIds::default();
         let end = Arc::default();
-        (Channel { handle, words, clock, ready, orders, open_ids, come_back, end }, core)
+        let once = config.settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
+        (Channel { handle, words, clock, ready, orders, open_ids, come_back, end, once }, core)
     }
 
     /// Adds to a refusal when to come back.
@@ -194,7 +198,7 @@
         let open = self.open_ids.open(&id)?;
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
-        let call = Call { method: parts.method, uri, headers, id, body };
+        let call = Call { method: parts.method, uri, headers, id, body, once: self.once[class.0] };
         let Facts { slots, memory } = facts;
         Ok((Ask { class, tenant: None, key, slots, memory, deadline, call: Arc::new(call) }, open))
     }
--- a/src/channel/subchannel.rs
+++ b/src/channel/subchannel.rs
@@ -33,6 +33,8 @@
 /// A log worker not heard of for this long may have vanished with its machine: what is written to a kept
 /// connection then hangs to its deadline, while a new connection fails at once and proves that nothing ran.
 const UNHEARD: Duration = Duration::from_millis(1500);
+/// After a kept connection broke under a request, those that must not run twice go over new ones for this long.
+const DISTRUST: Duration = Duration::from_secs(30);
 
 /// What of a request goes to a log worker, as it came.
 #[derive(Debug)]
@@ -47,6 +49,8 @@
     pub id: HeaderValue,
     /// The body.
     pub body: Bytes,
+    /// It must never run twice: once written, it can go nowhere else.
+    pub once: bool,
 }
 
 /// What all subchannels share.
@@ -59,6 +63,9 @@
     pub connect_timeout: Duration,
     /// Connections idle for this long are closed: long before their log worker does it.
     pub max_idle: Duration,
+    /// When a kept connection last broke under a request, to whichever log worker: what closes them stands
+    /// before them all.
+    pub severed: Mutex<Option<Instant>>,
 }
 
 struct Inner {
@@ -132,9 +139,11 @@
         *lock(&self.0.heard) = Instant::now();
     }
 
-    fn reuse(&self) -> Option<Connection> {
+    fn reuse(&self, once: bool) -> Option<Connection> {
         self.sweep();
-        if lock(&self.0.heard).elapsed() > UNHEARD {
+        let severed = *lock(&self.0.shared.severed);
+        let distrusted = once && severed.is_some_and(|at| at.elapsed() < DISTRUST);
+        if distrusted || lock(&self.0.heard).elapsed() > UNHEARD {
             return None;
         }
         // The newest first: the others get the chance to grow old.
@@ -176,16 +185,21 @@
         &self,
         request: impl Fn() -> Request<Full<Bytes>>,
         body_len: usize,
+        once: bool,
         may_send: impl Fn() -> bool,
     ) -> Result<(Connection, Response<Incoming>), Failed> {
-        if let Some(mut connection) = self.reuse() {
+        if let Some(mut connection) = self.reuse(once) {
             if !may_send() {
                 self.keep(connection);
                 return Err(Outcome::NotSent);
             }
             match connection.send(request(), body_len).await {
                 Ok(response) => return Ok((connection, response)),
-                Err(Broke::AfterLastByte) => return Err(Outcome::ConnectionLost),
+                Err(Broke::AfterLastByte) => {
+                    log::debug!("{}: a kept connection broke under a request", self.0.name);
+                    *lock(&self.0.shared.severed) = Some(Instant::now());
+                    return Err(Outcome::Severed);
+                }
                 Err(Broke::BeforeLastByte) => {}
             }
         }
@@ -225,7 +239,8 @@
             request
         };
         let may_send = || self.0.ready.load(Ordering::Acquire) && shared.clock.now() < attempt.deadline;
-        let (connection, response) = match self.exchange(request, call.body.len(), may_send).await {
+        let (connection, response) = match self.exchange(request, call.body.len(), call.once, may_send).await
+        {
             Ok(done) => done,
             Err(outcome) => return outcome.into(),
         };
@@ -332,7 +347,7 @@
             request
         };
         let probe = async {
-            let (connection, response) = self.exchange(request, 0, || true).await?;
+            let (connection, response) = self.exchange(request, 0, false, || true).await?;
             self.hears();
             let outcome = if response.status().is_success() { Outcome::Served } else { Outcome::Error };
             let header = load_header(response.headers(), &shared.words);
--- a/src/faktory/server.rs
+++ b/src/faktory/server.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -19,10 +19,19 @@
 use super::{settings, FaktoryConfig};
 use crate::api::{ClassId, Effect, ListScope, Listing, Name, Outcome, Settings, SettingsError, Span};
 use crate::dispatch::{Answer, Ask, Clock, Core, Counters, Handle, Limits};
+use crate::guard::{Door, Place, Room, Socket};
 
 /// A FETCH that finds nothing waits this long, as the specification has it.
 const FETCH_WAIT: Duration = Duration::from_secs(2);
-/// A client must say HELLO, and read its replies, within this time.
+/// A client must say HELLO within `first`. Producers may keep their connections for as long as there is room,
+/// and consumers are looked after by the hall.
+const SILENT: crate::guard::Patience = crate::guard::Patience {
+    first: Duration::from_secs(3),
+    part: Duration::MAX,
+    idle: Duration::MAX,
+    unread: Duration::MAX,
+};
+/// A client must read its replies within this time.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// A consumer must give a sign of life this often, as the specification has it.
 const SILENCE: Duration = Duration::from_secs(60);
@@ -59,7 +68,7 @@
 /// The work server.
 pub struct Server {
     shared: Arc<Shared>,
-    room: Arc<Semaphore>,
+    room: Room,
     reconnect: Duration,
     close: watch::Sender<bool>,
 }
@@ -87,7 +96,7 @@
         let jids = Mutex::default();
         let open = watch::Sender::new(0);
         let shared = Shared { hall, handle, clock, settings, class_time, active, closing, jids, open };
-        let room = Arc::new(Semaphore::new(config.max_connections));
+        let room = Room::new(config.max_connections, SILENT);
         (Server { shared: Arc::new(shared), room, reconnect: config.reconnect(), close }, core)
     }
 
@@ -99,6 +108,7 @@
     /// Serves until `stop` ends; then takes no new jobs, and ends when those taken have their answers.
     pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
         let mut connections = JoinSet::new();
+        let mut door = Door::new(listener, self.room.clone());
         let mut sweep = tokio::time::interval(SWEEP);
         let mut open = self.shared.open.subscribe();
         let finish = async {
@@ -110,13 +120,7 @@
         let mut finish = std::pin::pin!(finish);
         loop {
             tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.open(stream, &mut connections),
-                    Err(error) => {
-                        log::warn!("accept: {error}");
-                        tokio::time::sleep(SWEEP).await;
-                    }
-                },
+                (socket, place) = door.next() => self.open(socket, place, &mut connections),
                 Some(_) = connections.join_next() => {}
                 _ = sweep.tick() => {
                     let ago = |time| Instant::now().checked_sub(time);
@@ -130,18 +134,21 @@
         }
     }
 
-    fn open(&self, stream: TcpStream, connections: &mut JoinSet<()>) {
-        let Ok(room) = self.room.clone().try_acquire_owned() else {
-            log::warn!("no room for another Faktory connection");
-            return;
-        };
-        let _ = stream.set_nodelay(true);
+    fn open(&self, socket: Socket, place: Place, connections: &mut JoinSet<()>) {
         let shared = self.shared.clone();
         connections.spawn(async move {
-            let _room = room;
-            let mut connection =
-                Connection { shared, frames: Framed::new(stream, Codec::default()), next: None, wid: None };
-            if let Err(error) = connection.serve().await {
+            let frames = Framed::new(socket, Codec::default());
+            let mut connection = Connection { shared, frames, next: None, wid: None, place: place.clone() };
+            let ended = tokio::select! {
+                // The connection first: what has come saves it from having to leave.
+                biased;
+                ended = connection.serve() => ended,
+                () = place.told_to_leave() => {
+                    connection.shared.handle.counters().closed.add();
+                    Ok(())
+                }
+            };
+            if let Err(error) = ended {
                 connection.shared.handle.counters().malformed.add();
                 log::debug!("a Faktory connection ended: {error}");
                 let _ = timeout(PATIENCE, connection.frames.send(Reply::Error(error.to_string()))).await;
@@ -213,25 +220,28 @@
 
 struct Connection {
     shared: Arc<Shared>,
-    frames: Framed<TcpStream, Codec>,
+    frames: Framed<Socket, Codec>,
     /// A command that came while another was waiting.
     next: Option<Option<io::Result<Result<Command, BadCommand>>>>,
     wid: Option<Name>,
+    // Behind the socket: it is free only once that is closed.
+    place: Place,
 }
 
 impl Connection {
     async fn serve(&mut self) -> Closed {
         self.reply(Reply::Simple(format!("HI {{\"v\":{VERSION}}}"))).await?;
-        match timeout(PATIENCE, self.frames.next()).await {
-            Ok(Some(Ok(Ok(Command::Hello(hello))))) if hello.v == VERSION => {
+        match self.frames.next().await {
+            Some(Ok(Ok(Command::Hello(hello)))) if hello.v == VERSION => {
+                self.place.owes();
                 self.wid = hello.wid.filter(|wid| !wid.is_empty()).map(Name::from);
                 if let Some(wid) = &self.wid {
                     self.shared.hall.join(wid);
                 }
                 self.reply(Reply::ok()).await?;
             }
-            Ok(Some(Err(error))) => return Err(error),
-            Ok(None) => return Ok(()),
+            Some(Err(error)) => return Err(error),
+            None => return Ok(()),
             _ => {
                 self.shared.handle.counters().malformed.add();
                 return self.reply(Reply::Error(format!("HELLO with v {VERSION} comes first"))).await;
@@ -240,8 +250,15 @@
         loop {
             let command = match self.next.take() {
                 Some(next) => next,
-                None => self.frames.next().await,
+                None => {
+                    // A consumer may hold jobs, and is there to be given more.
+                    if self.wid.is_none() {
+                        self.place.idles();
+                    }
+                    self.frames.next().await
+                }
             };
+            self.place.owes();
             let reply = match command {
                 None => return Ok(()),
                 Some(Err(error)) => return Err(error),
--- a/src/front.rs
+++ b/src/front.rs
@@ -14,11 +14,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::MissedTickBehavior;
 use tower::Service;
 
 use crate::channel::{plain, Channel, ResponseBody, MAX_BUFFER};
-use crate::guard::{Framed, Patience, Place, Room, Socket};
+use crate::guard::{Door, Framed, Patience, Place, Room, Socket};
 
 const READY: &str = "/health/ready";
 /// Clients that say nothing are told so within 3 s of connecting: this leaves a second for a late turn.
@@ -28,12 +27,6 @@
     idle: Duration::from_secs(60),
     unread: Duration::from_secs(10),
 };
-/// How often connections are looked through for those that took too long.
-const SWEEP: Duration = Duration::from_millis(100);
-/// Pause after an accept that failed: most likely descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// Connections accepted in a row, before everything else gets its turn.
-const ACCEPTS: u32 = 16;
 /// After being told to end, clients keep coming for up to 0.4 s; this is longer.
 const GRACE: Duration = Duration::from_millis(600);
 /// Clients that are connected are served on for this long at most after that, while requests taken before are
@@ -63,11 +56,7 @@
     pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
         let (close, closing) = watch::channel(false);
         let mut connections = JoinSet::new();
-        let mut sweep = tokio::time::interval(SWEEP);
-        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        // Accepted, and waiting for somebody else to leave.
-        let mut waiting: Option<Socket> = None;
-        let mut accepts = 0;
+        let mut door = Door::new(listener, self.room.clone());
         let mut stop = std::pin::pin!(async {
             stop.await;
             log::info!("told to end; clients have {GRACE:?} more");
@@ -75,45 +64,16 @@
             tokio::time::sleep(GRACE).await;
         });
         loop {
-            if let Some(socket) = waiting.take() {
-                match self.room.enter(socket.unread()) {
-                    Some(place) => self.open(socket, place, &mut connections, closing.clone()),
-                    None => waiting = Some(socket),
-                }
-            }
             tokio::select! {
-                accepted = listener.accept(), if waiting.is_none() => match accepted {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nodelay(true);
-                        waiting = Some(Socket::new(stream));
-                        accepts += 1;
-                        if accepts % ACCEPTS == 0 {
-                            tokio::task::yield_now().await;
-                        }
-                    }
-                    Err(error) => {
-                        log::warn!("accept: {error}");
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                    }
-                },
-                () = self.room.freed(), if waiting.is_some() => {}
+                (socket, place) = door.next() => self.open(socket, place, &mut connections, closing.clone()),
                 Some(_) = connections.join_next() => {}
-                _ = sweep.tick() => self.room.sweep(),
                 () = &mut stop => break,
             }
         }
-        // A client whose connection waits here unaccepted would see a reset.
-        while let Some(socket) = match waiting.take() {
-            Some(socket) => Some(socket),
-            None => match tokio::time::timeout(Duration::from_millis(1), listener.accept()).await {
-                Ok(Ok((stream, _))) => Some(Socket::new(stream)),
-                _ => None,
-            },
-        } {
-            let place = self.room.squeeze_in(socket.unread());
+        while let Some((socket, place)) = door.last().await {
             self.open(socket, place, &mut connections, closing.clone());
         }
-        drop(listener);
+        let mut shut = std::pin::pin!(door.shut());
         // Until the last of what was taken so far is answered the process stays anyway: for a while it goes on
         // serving those that are connected.
         self.channel.end_within(FINISH);
@@ -125,7 +85,7 @@
         loop {
             tokio::select! {
                 ended = connections.join_next() => if ended.is_none() { return },
-                _ = sweep.tick() => self.room.sweep(),
+                () = &mut shut => {}
                 () = &mut last => {}
             }
         }
@@ -167,10 +127,10 @@
                         }
                         return;
                     }
-                    () = place.told_to_leave() => if place.must_leave() {
+                    () = place.told_to_leave() => {
                         counters.closed.add();
                         return;
-                    },
+                    }
                     () = async { drop(closing.wait_for(|closing| *closing).await) }, if !told_to_end => {
                         // A shut-down library reads nothing more, not even what is here already.
                         if unread() {
--- a/src/guard/room.rs
+++ b/src/guard/room.rs
@@ -192,14 +192,14 @@
 }
 
 impl Place {
-    /// Ends when this connection has to leave.
+    /// Ends when this connection has to leave. A request that comes in the meantime saves it.
     pub async fn told_to_leave(&self) {
-        self.0.leave.notified().await;
-    }
-
-    /// Whether it still has to: a request that came in the meantime saves it.
-    pub fn must_leave(&self) -> bool {
-        self.0.room.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.leaving)
+        loop {
+            self.0.leave.notified().await;
+            if self.0.room.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.leaving) {
+                return;
+            }
+        }
     }
 
     /// A whole request has come: an answer is owed.
--- a/src/guard/socket.rs
+++ b/src/guard/socket.rs
@@ -25,6 +25,7 @@
 impl Socket {
     /// Takes a stream over.
     pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
         Socket(Arc::new(stream))
     }
 
--- a/tests/faktory.rs
+++ b/tests/faktory.rs
@@ -217,3 +217,16 @@
     assert!(daemon.wait_exit().success());
     assert!(daemon.wait_log("faktory counters at exit").contains("taken=1 "));
 }
+
+/// Connections that never say HELLO once held every place for as long as they liked to come back.
+#[test]
+fn silent_crowds_make_way_for_producers_and_consumers() {
+    let daemon = daemon(&format!("{ON}max_connections = 4\n"));
+    let at = daemon.address("faktory");
+    let mut consumer = Peer::consumer(at, "w-1");
+    let silent: Vec<Peer> = (0..20).map(|_| Peer::silent(at)).collect();
+    let mut producers: Vec<Peer> = (0..6).map(|_| Peer::producer(at)).collect();
+    assert!(producers.last_mut().expect("one").say("INFO").contains("faktory_version"));
+    assert!(consumer.say("BEAT {\"wid\":\"w-1\"}").starts_with("+OK"), "nobody makes a consumer leave");
+    drop(silent);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -210,6 +210,30 @@
     assert_eq!(worker.connections.load(Ordering::SeqCst), 2);
 }
 
+/// A kept connection may be closed on the way: the first confirmation that this costs is the last, and the log
+/// worker is not blamed.
+#[test]
+fn after_a_kept_connection_broke_a_confirmation_goes_over_a_new_one() {
+    let count = Mutex::new(0);
+    let worker = Worker::start("w-1", move |request, to| {
+        let mut count = count.lock().expect("the count");
+        *count += 1;
+        // The third finds its kept connection broken.
+        if *count != 3 {
+            serve(request, to, "fine");
+        }
+        *count != 3
+    });
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let asks = |class: &str, id: u32| ask(http, &post(class, &format!("{id:016x}"), 5000, "")).status;
+    assert_eq!((asks("log-lookup", 1), asks("qso-confirm", 2), asks("qso-confirm", 3)), (200, 200, 500));
+    let connections = || worker.connections.load(Ordering::SeqCst);
+    assert_eq!((asks("log-lookup", 4), connections()), (200, 2));
+    assert_eq!((asks("qso-confirm", 5), connections()), (200, 3), "not over the kept one");
+    assert_eq!((asks("log-lookup", 6), connections()), (200, 3), "over a kept one");
+}
+
 /// A client whose connection stays open has nowhere better to go while others keep the process alive anyway.
 #[test]
 fn told_to_end_it_serves_those_who_are_connected_while_others_wait() {
