Ask for a lost list again within 1.5 s, so that drains are heard of in time

At fault, by reading: brain::plan_ask doubled its pause with each failure, the first included, to 2.5 to 7.5 s, and resolver::CALL_TIMEOUT outlived discovery's own 2 s, so two failed calls in a row use up the 6 s. Ruled out: the subchannels (shut before the decisions hear of a list).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,7 +50,8 @@
 const TENANT_SLACK: f64 = 1.15; // clients spread unevenly: one dispatcher may carry this much of its part
 const COLD_PART: f64 = 0.35; // of the cold budget is planned: a span can hold twice that, the rest is margin
 const ROUND: Span = Span(250_000); // between two rounds of housekeeping
-const ASK_AGAIN: Span = Span(1_000_000); // pause after a failed list call, doubled up to half of `ask_every`
+const ASK_AGAIN: Span = Span(500_000); // pause after a failed list call, doubled once: a drain counts as told
+const ASK_DOUBLINGS: u32 = 1; // within seconds, heard or not, so a lost list cannot be left alone for long
 
 /// Decides for one dispatcher; knows only what its own events said.
 pub struct Dispatcher {
@@ -151,7 +152,9 @@
 
     /// Backoff with jitter: after an outage of the list not all may call at once.
     fn plan_ask(&mut self) {
-        let pause = (ASK_AGAIN.0 << self.asking.fails.min(5)).min(self.s.rules.ask_every.0 / 2).max(1);
+        let pause = (ASK_AGAIN.0 << self.asking.fails.saturating_sub(1).min(ASK_DOUBLINGS))
+            .min(self.s.rules.ask_every.0 / 2)
+            .max(1);
         self.asking.next = self.now + Span(pause / 2 + self.rng.random_range(0..=pause));
     }
 
--- a/src/channel/resolver.rs
+++ b/src/channel/resolver.rs
@@ -22,7 +22,7 @@
 
 const PATH: &str = "/registry/instances";
 /// An answer that takes longer counts as failed; discovery itself gives up on a call after 2 s.
-const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+const CALL_TIMEOUT: Duration = Duration::from_millis(2200);
 /// A watch brings at least an empty line every 2 s; one silent for longer is dead, whatever TCP says.
 const SILENCE: Duration = Duration::from_secs(3);
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -75,6 +75,25 @@
     assert_eq!(probed(host.tell(Event::Timer(0))), 0);
 }
 
+/// A drain counts as told 6 s later, heard or not: pauses that doubled up to seconds broke the rule on drains.
+#[test]
+fn a_list_that_keeps_failing_is_asked_for_every_second_and_a_half() {
+    let mut s = settings(&[Effect::Safe]);
+    s.discovery = Discovery::Subscribe;
+    let mut host = Host::new(s, 1);
+    let mut asked = Vec::new();
+    for _ in 0..400 {
+        host.ms += 100.0;
+        let out = host.tell(Event::Timer(0));
+        if out.iter().any(|a| matches!(a, Action::Subscribe)) {
+            asked.push(host.ms);
+            host.tell(list(ListScope::Failed, Vec::new()));
+        }
+    }
+    // The first call is spread over a quarter of `ask_every`; a pause ends with the next round.
+    assert!(asked.len() > 20 && asked.windows(2).all(|w| w[1] - w[0] <= 2000.0), "{asked:?}");
+}
+
 #[test]
 fn a_worker_that_turned_a_job_away_counts_as_full_for_a_moment() {
     let mut host = Host::new(settings(&[Effect::Unsafe]), 4);
