Add rookspoke-lab, an emulator, and mend the cold starts and list calls it found

Need: designs could be tried only on sockets, at 10 to 20 log workers and a second for a second, and incidents were learnt in service.

Two causes, each checked by changing it alone: - cold_turn took a job for FIRST_RUN (0.4 s, not 1.3) until a slow mean had learned: with many dispatchers each sees few jobs, so the budget looked three times too large.

Also, the order of a key is taken from the four parts of the fleet that its hash names, about 256 workers, once there are more; a change of the list touches what it names only. Choices in fleets of up to 256 near and 256 far are the same.

--- a/crates/conf/src/compile.rs
+++ b/crates/conf/src/compile.rs
@@ -376,9 +376,7 @@
         match keyword.absent {
             Absent::Nothing => {}
             Absent::Default(text) => {
-                let nowhere = Span { file: 0, start: 0, end: 0 };
-                let word = |text: &str| Word { text: text.into(), span: nowhere };
-                let value = keyword.kind.read(&word(keyword.name), &[word(text)]);
+                let value = keyword.kind.read(&Word::outside(keyword.name), &[Word::outside(text)]);
                 // A test reads every default.
                 if let Ok(value) = value {
                     self.set(&pointer, value, None);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -20,3 +20,5 @@
 pub use problem::{Problem, Problems};
 pub use resolved::{Changes, Origin, Resolved, Row};
 pub use source::{read_bounded, ReadError, Sources, Span, MAX_FILE};
+pub use syntax::{parse, Line, Word};
+pub use value::Kind;
--- a/crates/conf/src/syntax.rs
+++ b/crates/conf/src/syntax.rs
@@ -32,6 +32,13 @@
     pub block: Option<Vec<Line>>,
 }
 
+impl Word {
+    /// A word that stands in no text: from the command line, or from the program.
+    pub fn outside(text: &str) -> Self {
+        Word { text: text.into(), span: Span { file: 0, start: 0, end: 0 } }
+    }
+}
+
 impl Line {
     /// The words, without the block.
     pub fn span(&self) -> Span {
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -107,7 +107,10 @@
     }
 
     /// Reads the words that follow a keyword.
-    pub(crate) fn read(&self, keyword: &Word, args: &[Word]) -> Result<Value, Problem> {
+    ///
+    /// # Errors
+    /// Says what was found and what is expected, at the word that is wrong.
+    pub fn read(&self, keyword: &Word, args: &[Word]) -> Result<Value, Problem> {
         let Some(first) = args.first() else {
             let text = format!("`{}` has no value, expected {}", keyword.text, self.expected());
             return Err(Problem::at(keyword.span, text));
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -42,6 +42,20 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
 impl Sub for Time {
     type Output = Span;
     fn sub(self, other: Time) -> Span {
@@ -85,7 +99,7 @@
 pub struct TenantId(pub usize);
 
 /// The place of a machine kind in [`Settings::kinds`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KindId(pub usize);
 
 /// Which workers discard repeats of a keyed request.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::api::{
@@ -141,7 +141,7 @@
     /// The first eligible workers in the key's stable order, near ones and others, as of `version`.
     pub near: Vec<Wid>,
     pub far: Vec<Wid>,
-    pub version: (u64, u64),
+    pub version: ((u64, u64), u64),
     /// Slot-seconds served to this dispatcher: what clients repeat after refusals must not count.
     pub demand: Faded,
 }
@@ -210,7 +210,7 @@
             cell: entry.cell,
             weight: entry.weight,
             started: entry.started,
-            ready: true,
+            ready: false,
             learned_slots: None,
             own: 0.0,
             jobs: 0,
@@ -228,6 +228,10 @@
             turn_spent: i64::MIN,
         }
     }
+    /// Where its fleet files it: for jobs that run anywhere, and for those that need its kind.
+    fn parts(&self) -> [(bool, Option<KindId>); 2] {
+        [(self.local, None), (self.local, Some(self.kind.unwrap_or(KindId(usize::MAX))))]
+    }
     /// Its process restarted: what was learned of the earlier one is void.
     fn restart(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.turn_spent, self.fails) = (started, i64::MIN, 0);
@@ -324,6 +328,86 @@
     }
 }
 
+/// Workers of a part, at the mean of a fleet that has more than `LOOKED` parts.
+const PART: usize = 64;
+/// Parts that a key looks into. A fleet of no more parts than this is looked through whole.
+const LOOKED: usize = 4;
+
+/// Workers in service, split into parts by their names' hashes: the order of a key in a large fleet is taken from
+/// the few parts that the key's own hash names, so that it costs no more than in a small one. The number of parts is
+/// a power of two; when it doubles, each part splits, and half of what a key had looked at stays.
+#[derive(Default)]
+struct Parts {
+    parts: Vec<Part>,
+    count: usize,
+    /// Grows with each change of the number of parts.
+    splits: u64,
+}
+
+#[derive(Clone, Default)]
+struct Part {
+    workers: Vec<(u64, Wid)>,
+    /// Counts the changes.
+    version: u64,
+}
+
+impl Parts {
+    fn place(&self, hash: u64) -> usize {
+        let bits = self.parts.len().trailing_zeros();
+        hash.checked_shr(u64::BITS - bits).unwrap_or(0) as usize
+    }
+    fn fit(&mut self) {
+        let wanted = (self.count / PART).max(1).next_power_of_two();
+        let now = self.parts.len();
+        // A fleet that grows and shrinks around a bound does not split and join each time.
+        if now > 0 && wanted <= now && wanted * 4 > now {
+            return;
+        }
+        let all: Vec<(u64, Wid)> = self.parts.drain(..).flat_map(|part| part.workers).collect();
+        self.parts = vec![Part::default(); wanted];
+        self.splits += 1;
+        for (hash, id) in all {
+            let place = self.place(hash);
+            self.parts[place].workers.push((hash, id));
+        }
+    }
+    fn insert(&mut self, hash: u64, id: Wid) {
+        self.count += 1;
+        self.fit();
+        let place = self.place(hash);
+        self.parts[place].workers.push((hash, id));
+        self.parts[place].version += 1;
+    }
+    fn remove(&mut self, hash: u64, id: Wid) {
+        let place = self.place(hash);
+        let part = &mut self.parts[place];
+        part.workers.retain(|(_, other)| *other != id);
+        part.version += 1;
+        self.count -= 1;
+        self.fit();
+    }
+    fn touch(&mut self, hash: u64) {
+        let place = self.place(hash);
+        self.parts[place].version += 1;
+    }
+    /// The parts that a key looks into: all, or `LOOKED` different ones.
+    fn of(&self, key: KeyHash) -> impl Iterator<Item = &Part> {
+        let all = self.parts.len() <= LOOKED;
+        let mut drawn = [usize::MAX; LOOKED];
+        for at in 0..if all { 0 } else { LOOKED } {
+            let draws = (0u64..).map(|n| self.place(xxh3_64_with_seed(&n.to_le_bytes(), key)));
+            drawn[at] = draws.into_iter().find(|place| !drawn.contains(place)).unwrap_or(0);
+        }
+        let whole = self.parts.iter().take(if all { LOOKED } else { 0 });
+        whole.chain(drawn.into_iter().filter_map(|place| self.parts.get(place)))
+    }
+    /// A number that is another one after each change of what a key looks at.
+    fn version(&self, key: KeyHash) -> u64 {
+        // Versions of parts begin anew with a split.
+        self.of(key).map(|part| part.version).sum::<u64>() + (self.splits << 40)
+    }
+}
+
 /// Workers by name and number, and those in service in the order of their names.
 #[derive(Default)]
 pub struct Fleet {
@@ -331,8 +415,8 @@
     by_id: FxHashMap<Wid, Worker>,
     next: Wid,
     pub ready: Vec<Wid>,
-    /// Counts the lists taken.
-    pub version: u64,
+    /// Those of the own zone and the others; for any job, and for the jobs that need one kind.
+    parts: BTreeMap<(bool, Option<KindId>), Parts>,
 }
 
 impl Fleet {
@@ -348,9 +432,10 @@
     /// Takes a list or its changes; a worker absent from a complete list has been removed.
     pub fn apply(&mut self, scope: ListScope, entries: &[Listing], s: &Settings, now: Time) {
         if scope != ListScope::Changes {
-            for id in &self.ready {
-                self.by_id.entry(*id).and_modify(|w| w.ready = false);
-            }
+            let named: FxHashSet<&str> = entries.iter().map(|entry| entry.worker.as_ref()).collect();
+            let left = |id: &Wid| self.by_id.get(id).is_some_and(|w| !named.contains(w.name.as_ref()));
+            let left: Vec<Wid> = self.ready.iter().copied().filter(left).collect();
+            left.into_iter().for_each(|id| self.set_ready(id, false));
         }
         for entry in entries {
             let in_service = entry.readiness == Readiness::InService;
@@ -368,13 +453,53 @@
             if in_service && w.started != entry.started {
                 w.restart(entry.started, now);
             }
-            (w.ready, w.weight, w.cell) = (in_service, entry.weight, entry.cell.or(w.cell));
+            w.cell = entry.cell.or(w.cell);
+            let (weighs, hash, keys) = (w.weight != entry.weight, w.hash, w.parts());
+            w.weight = entry.weight;
+            if weighs && w.ready {
+                for key in keys {
+                    self.parts.entry(key).or_default().touch(hash);
+                }
+            }
+            self.set_ready(id, in_service);
+        }
+    }
+    /// Moves a worker into or out of what is in service. One that is gone and owes nothing is forgotten.
+    fn set_ready(&mut self, id: Wid, ready: bool) {
+        let Some(w) = self.by_id.get_mut(&id) else { return };
+        if std::mem::replace(&mut w.ready, ready) != ready {
+            let (hash, keys, name) = (w.hash, w.parts(), w.name.clone());
+            let by_id = &self.by_id;
+            let place = self.ready.partition_point(|other| by_id.get(other).is_some_and(|o| o.name < name));
+            match ready {
+                true => self.ready.insert(place, id),
+                false => drop(self.ready.remove(place)),
+            }
+            for key in keys {
+                let parts = self.parts.entry(key).or_default();
+                match ready {
+                    true => parts.insert(hash, id),
+                    false => parts.remove(hash, id),
+                }
+            }
         }
-        let idle: Vec<Wid> = self.by_name.values().copied().collect();
-        idle.into_iter().for_each(|id| self.forget_if_idle(id));
-        let ready = self.by_name.values().copied().filter(|id| self.by_id.get(id).is_some_and(|w| w.ready));
-        self.ready = ready.collect();
-        self.version += 1;
+        self.forget_if_idle(id);
+    }
+    /// Workers in service from which a key takes its order: in a fleet of some hundreds all, else a fixed number
+    /// that depends on the key.
+    pub fn candidates(
+        &self,
+        key: KeyHash,
+        kind: Option<KindId>,
+        near: bool,
+    ) -> impl Iterator<Item = Wid> + '_ {
+        let parts = self.parts.get(&(near, kind)).into_iter().flat_map(move |parts| parts.of(key));
+        parts.flat_map(|part| part.workers.iter().map(|(_, id)| *id))
+    }
+    /// A number that is another one after each change of a key's candidates.
+    pub fn version(&self, key: KeyHash, kind: Option<KindId>) -> (u64, u64) {
+        let of = |near| self.parts.get(&(near, kind)).map_or(0, |parts| parts.version(key));
+        (of(true), of(false))
     }
     /// Marks as probed, and names, the first `most` workers that have not reported since `since`.
     pub fn probe_stale<'a>(
@@ -497,3 +622,83 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn filled(count: u64) -> Parts {
+        let mut parts = Parts::default();
+        (0..count).for_each(|n| parts.insert(xxh3_64(&n.to_le_bytes()), n as Wid));
+        parts
+    }
+
+    fn looked_at(parts: &Parts, key: KeyHash) -> Vec<Wid> {
+        let mut all: Vec<Wid> = parts.of(key).flat_map(|p| p.workers.iter().map(|w| w.1)).collect();
+        all.sort_unstable();
+        all
+    }
+
+    #[test]
+    fn a_key_looks_at_all_of_a_small_fleet_and_at_a_fixed_number_of_a_large_one() {
+        assert_eq!(looked_at(&filled(100), 7), (0..100).collect::<Vec<Wid>>());
+        assert_eq!(looked_at(&filled(300), 7).len(), 300);
+        for count in [2_000, 12_000] {
+            let parts = filled(count);
+            let seen: Vec<usize> = (0..50).map(|key| looked_at(&parts, key).len()).collect();
+            let (least, most) = (seen.iter().min().expect("some"), seen.iter().max().expect("some"));
+            assert!(*least > LOOKED * PART / 2 && *most < LOOKED * PART * 3, "{least} to {most} of {count}");
+        }
+    }
+
+    #[test]
+    fn a_change_elsewhere_leaves_a_keys_version_and_one_in_its_parts_does_not() {
+        let mut parts = filled(4_000);
+        let (key, other) = (7, 4_001);
+        let own = looked_at(&parts, key)[0];
+        let before = parts.version(key);
+        let far = (0..4_000).find(|n| !looked_at(&parts, key).contains(n)).expect("one");
+        parts.remove(xxh3_64(&u64::from(far).to_le_bytes()), far);
+        assert_eq!(parts.version(key), before);
+        parts.remove(xxh3_64(&u64::from(own).to_le_bytes()), own);
+        assert_ne!(parts.version(key), before);
+        parts.insert(xxh3_64(&u64::from(own).to_le_bytes()), other);
+        assert!(looked_at(&parts, key).contains(&other));
+    }
+
+    #[test]
+    fn growth_keeps_half_of_what_a_key_looked_at() {
+        let (small, large) = (filled(4_000), filled(8_200));
+        assert_eq!(large.parts.len(), 2 * small.parts.len());
+        let kept = |key| {
+            let (before, after) = (looked_at(&small, key), looked_at(&large, key));
+            before.iter().filter(|w| after.contains(w)).count() as f64 / before.len() as f64
+        };
+        let mean = (0..40).map(kept).sum::<f64>() / 40.0;
+        assert!((0.4..0.6).contains(&mean), "{mean}");
+    }
+
+    proptest::proptest! {
+        /// Whatever comes and goes, every worker stands in exactly one part, and versions never come back.
+        #[test]
+        fn no_worker_is_lost(steps in proptest::collection::vec((0u32..700, proptest::bool::ANY), 1..900)) {
+            let mut parts = Parts::default();
+            let mut held = std::collections::BTreeSet::new();
+            let mut versions = std::collections::BTreeSet::new();
+            for (id, comes) in steps {
+                let hash = xxh3_64(&id.to_le_bytes());
+                match comes {
+                    true if held.insert(id) => parts.insert(hash, id),
+                    false if held.remove(&id) => parts.remove(hash, id),
+                    _ => continue,
+                }
+                let all: Vec<Wid> = parts.parts.iter().flat_map(|p| p.workers.iter().map(|w| w.1)).collect();
+                proptest::prop_assert_eq!(all.len(), held.len());
+                proptest::prop_assert!(all.iter().all(|id| held.contains(id)));
+                if parts.parts.len() <= LOOKED {
+                    proptest::prop_assert!(versions.insert(parts.version(1)));
+                }
+            }
+        }
+    }
+}
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -51,6 +51,7 @@
 const COLD_PART: f64 = 0.35; // of the cold budget is planned: a span can hold twice that, the rest is margin
 const ROUND: Span = Span(250_000); // between two rounds of housekeeping
 const ASK_AGAIN: Span = Span(500_000); // pause after a failed list call, doubled once: a drain counts as told
+const ASK_WAIT: Span = Span(2_500_000); // a call is answered, or fails, within this
 const ASK_DOUBLINGS: u32 = 1; // within seconds, heard or not, so a lost list cannot be left alone for long
 
 /// Decides for one dispatcher; knows only what its own events said.
@@ -65,6 +66,8 @@
     fill: f64, // mean fill of workers over all reports, for those that never reported: those of other zones
     pressure: f64, // The part of recent jobs that were turned away or refused as late.
     run: Vec<Span>, // Mean time in slots of each class's jobs.
+    /// The same, learned at once from few jobs, and of how many: a guess that lasts overfills a cold worker.
+    costs: Vec<(f64, u32)>,
     /// Per kind: slot-seconds asked for by jobs that need it, and the part of it that others leave to them.
     asked: Vec<Faded>,
     reserved: Vec<f64>,
@@ -89,6 +92,7 @@
             fill: 0.0,
             pressure: 0.0,
             run: vec![FIRST_RUN; settings.classes.len()],
+            costs: vec![(FIRST_RUN.secs(), 0); settings.classes.len()],
             asked: vec![Faded::default(); settings.kinds.len()],
             reserved: vec![0.0; settings.kinds.len()],
             reserved_version: 1,
@@ -136,8 +140,8 @@
             let follows = self.s.discovery == Discovery::Automatic || self.asking.subscribed;
             if !follows && now >= self.asking.next {
                 out.push(Action::Subscribe);
-                self.asking.asked = now;
-                self.plan_ask();
+                // Not again before it is answered or has failed: many that ask anew each moment hear nothing.
+                (self.asking.asked, self.asking.next) = (now, now + ASK_WAIT);
             }
         }
         while let Some(id) = self.book.pop_due(self.now) {
@@ -333,19 +337,19 @@
 
     /// Weighted rendezvous order of key and worker name: every dispatcher finds the same one without talk.
     fn order(&self, key: KeyHash, kind: Option<KindId>, near: bool) -> Vec<Wid> {
-        let rank = |id: &Wid| {
-            let w = self.fleet.get(*id).filter(|w| w.local == near && (kind.is_none() || kind == w.kind))?;
+        let rank = |id: Wid| {
+            let w = self.fleet.get(id)?;
             let left = w.kind.filter(|_| kind.is_none()).map_or(1.0, |k| 1.0 - self.reserved[k.0]);
-            Some((w.draw(key) / (w.weight * left.max(LEAST_LEFT)).max(1e-3), *id))
+            Some((w.draw(key) / (w.weight * left.max(LEAST_LEFT)).max(1e-3), id))
         };
-        lowest(self.fleet.ready.iter().filter_map(rank).collect(), ORDER)
+        lowest(self.fleet.candidates(key, kind, near).filter_map(rank).collect(), ORDER)
     }
 
     /// Takes T[key] out, brought up to date, with the slots the key runs on each worker. It keeps what its
     /// demand fills to Busy: a set grown on stale news would scatter the key for good.
     fn entry(&mut self, key: KeyHash, kind: Option<KindId>) -> (Assigned, f64) {
         let mut t = self.table.remove(&key).unwrap_or_default();
-        let version = (self.fleet.version, self.reserved_version);
+        let version = (self.fleet.version(key, kind), self.reserved_version);
         if t.version != version {
             (t.near, t.far) = (self.order(key, kind, true), self.order(key, kind, false));
             t.version = version;
@@ -465,7 +469,7 @@
             return Some(i64::MIN);
         }
         let slots = w.learned_slots.unwrap_or(PAPER_FULL);
-        let cost = self.run.iter().map(|r| r.secs()).fold(1e-3, f64::max);
+        let cost = self.costs.iter().map(|c| c.0).fold(1e-3, f64::max);
         let full = COLD_PART * rules.fall_multiple * slots / cost;
         let jobs = full * (rules.cold_from * age + (1.0 - rules.cold_from) * age * age / (2.0 * ramp));
         let all = self.s.balancers as u64;
@@ -561,6 +565,9 @@
         if end.outcome == Outcome::Served {
             let mean = &mut self.run[class.0];
             mean.0 += ((took.0 - mean.0) as f64 * RUN_GAIN) as i64;
+            let (cost, seen) = &mut self.costs[class.0];
+            *seen = seen.saturating_add(1);
+            *cost += (took.secs() - *cost) * RUN_GAIN.max(1.0 / (f64::from(*seen) + 1.0));
             if let Some(t) = key.and_then(|key| self.table.get_mut(&key)) {
                 t.demand.add(now, KEY_MEMORY, took.secs() * slots);
             }
--- /dev/null
+++ b/crates/lab/src/check.rs
@@ -0,0 +1,318 @@
+//! The four rules, checked from outside: by what happened, not by what a policy says. Written apart from the
+//! decisions, so that a mistake in one is not in the other.
+
+use std::collections::BTreeMap;
+
+use rookspoke_decisions::{Effect, Outcome, Span, Time};
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Each job that was taken gets exactly one final answer, in time.
+    OneAnswer,
+    /// What may have run is repeated or refused only as its class allows.
+    NoDuplicate,
+    /// Nothing new to a log worker later than the grace after its drain was told.
+    CleanDrain,
+    /// No cold log worker is pushed over by those who know that it is cold.
+    GentleStart,
+}
+
+/// All of them.
+pub const RULES: [Rule; 4] = [Rule::OneAnswer, Rule::NoDuplicate, Rule::CleanDrain, Rule::GentleStart];
+
+impl Rule {
+    /// Its name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::OneAnswer => "one answer",
+            Rule::NoDuplicate => "no duplicate",
+            Rule::CleanDrain => "clean drain",
+            Rule::GentleStart => "gentle start",
+        }
+    }
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// How long after the deadline an answer still counts.
+    pub answer_slack: Span,
+    /// How long after a drain was told sends may go on.
+    pub drain_grace: Span,
+    /// A cold log worker falls when sent more than this times what it can do at present,
+    pub fall_multiple: f64,
+    /// within this time.
+    pub fall_span: Span,
+    /// No two attempts of a job at once.
+    pub alone: bool,
+}
+
+/// The part of the work that those told of a start must have sent, for the fall to be theirs.
+const TOLD_PART: f64 = 2.0 / 3.0;
+/// The slack for chance that the fall-over rule grants.
+const CHANCE: f64 = 1.05;
+
+#[derive(Clone, Debug)]
+struct Job {
+    effect: Effect,
+    deadline: Time,
+    answered: bool,
+    /// Nothing is owed to its client any more.
+    left: bool,
+    /// For each attempt: none while it is out, then whether it may have run.
+    attempts: Vec<Option<bool>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    at: Time,
+    work: f64,
+    told: bool,
+}
+
+/// Hears what happens, and counts what breaks a rule.
+#[derive(Clone, Debug)]
+pub struct Checker {
+    figures: Figures,
+    jobs: BTreeMap<u64, Job>,
+    /// For each dispatcher and log worker: when it was told of the drain or the end that holds now.
+    told: BTreeMap<(usize, usize), Time>,
+    loads: BTreeMap<usize, Vec<Load>>,
+    broken: BTreeMap<Rule, u64>,
+    first: Vec<String>,
+}
+
+/// The most sentences that are kept about what broke.
+const SENTENCES: usize = 5;
+
+impl Checker {
+    /// A checker that has heard of nothing.
+    pub fn new(figures: Figures) -> Self {
+        Checker {
+            figures,
+            jobs: BTreeMap::new(),
+            told: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            broken: BTreeMap::new(),
+            first: Vec::new(),
+        }
+    }
+
+    fn breaks(&mut self, rule: Rule, at: Time, what: String) {
+        *self.broken.entry(rule).or_default() += 1;
+        if self.first.len() < SENTENCES {
+            self.first.push(format!("{:.3} s: {}: {what}", at.ms() / 1000.0, rule.name()));
+        }
+    }
+
+    /// How often a rule was broken.
+    pub fn broken(&self, rule: Rule) -> u64 {
+        self.broken.get(&rule).copied().unwrap_or(0)
+    }
+
+    /// What broke first, in words.
+    pub fn sentences(&self) -> &[String] {
+        &self.first
+    }
+
+    /// A dispatcher took a job.
+    pub fn taken(&mut self, id: u64, effect: Effect, deadline: Time) {
+        self.jobs.insert(id, Job { effect, deadline, answered: false, left: false, attempts: Vec::new() });
+    }
+
+    /// A dispatcher sends an attempt.
+    pub fn sent(&mut self, now: Time, dispatcher: usize, worker: usize, id: u64) {
+        if let Some(since) = self.told.get(&(dispatcher, worker)) {
+            if now - *since > self.figures.drain_grace {
+                let late = (now - *since).ms();
+                self.breaks(Rule::CleanDrain, now, format!("sent to {worker}, told {late} ms before"));
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let out = job.attempts.iter().filter(|a| a.is_none()).count();
+        // Of an attempt that is still out, too, nobody knows that it never ran.
+        let ran = job.attempts.iter().any(|a| *a != Some(false));
+        let answered = job.answered && !job.left;
+        let twice = job.effect == Effect::Unsafe && ran;
+        job.attempts.push(None);
+        if twice || (self.figures.alone && out > 0) {
+            self.breaks(Rule::NoDuplicate, now, format!("job {id} was sent again"));
+        }
+        if answered {
+            self.breaks(Rule::OneAnswer, now, format!("job {id} was sent after its answer"));
+        }
+    }
+
+    /// An attempt ended.
+    pub fn ended(&mut self, id: u64, attempt: usize, outcome: Outcome) {
+        let never = matches!(outcome, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent);
+        if let Some(place) = self.jobs.get_mut(&id).and_then(|job| job.attempts.get_mut(attempt)) {
+            *place = Some(!never);
+        }
+    }
+
+    /// A client got its final answer.
+    pub fn answered(&mut self, now: Time, id: u64, refused: bool) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let (twice, late) =
+            (job.answered && !job.left, !job.left && now > job.deadline + self.figures.answer_slack);
+        job.answered = true;
+        let ran = job.effect == Effect::Unsafe && job.attempts.iter().any(|a| *a != Some(false));
+        if twice || late {
+            let what = if twice { "answered twice" } else { "answered after its deadline" };
+            self.breaks(Rule::OneAnswer, now, format!("job {id} was {what}"));
+        }
+        if refused && ran {
+            self.breaks(Rule::NoDuplicate, now, format!("job {id} may have run and was refused"));
+        }
+    }
+
+    /// A job was left by its client, or by the dispatcher that held it and died: nothing is owed.
+    pub fn left(&mut self, id: u64) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            (job.answered, job.left) = (true, true);
+        }
+    }
+
+    /// Looks for jobs whose time is up.
+    pub fn overdue(&mut self, now: Time) {
+        let limit = now - self.figures.answer_slack;
+        let late: Vec<u64> =
+            self.jobs.iter().filter(|(_, j)| !j.answered && j.deadline < limit).map(|(id, _)| *id).collect();
+        for id in late {
+            self.left(id);
+            self.breaks(Rule::OneAnswer, now, format!("job {id} got no answer"));
+        }
+        // What is over and long past is asked about by nobody.
+        let old = now - Span(120_000_000);
+        self.jobs.retain(|_, job| !job.answered || job.deadline > old);
+    }
+
+    /// A dispatcher was told that a log worker takes work, or that it does not.
+    pub fn told(&mut self, now: Time, dispatcher: usize, worker: usize, takes_work: bool) {
+        match takes_work {
+            true => drop(self.told.remove(&(dispatcher, worker))),
+            // The first word counts, not its repetition.
+            false => drop(self.told.entry((dispatcher, worker)).or_insert(now)),
+        }
+    }
+
+    /// Work reaches a cold log worker: seconds of a core, and whether its sender knew of the start. `capacity` is
+    /// what the log worker does in a second at present. True where this pushes it over.
+    pub fn loads(&mut self, now: Time, worker: usize, work: f64, told: bool, capacity: f64) -> bool {
+        let loads = self.loads.entry(worker).or_default();
+        loads.push(Load { at: now, work, told });
+        let from = now - self.figures.fall_span;
+        loads.retain(|load| load.at > from);
+        let all: f64 = loads.iter().map(|load| load.work).sum();
+        let known: f64 = loads.iter().filter(|load| load.told).map(|load| load.work).sum();
+        let budget = self.figures.fall_multiple * capacity * self.figures.fall_span.secs();
+        // One job alone may be larger than the budget; nobody can send half of it.
+        let falls = loads.len() > 1 && all > budget * CHANCE;
+        if falls {
+            self.loads.remove(&worker);
+            if known >= TOLD_PART * all {
+                let what = format!("{worker} was sent {all:.1} s of work, of which {known:.1} by those told; it bears {budget:.1}");
+                self.breaks(Rule::GentleStart, now, what);
+            }
+        }
+        falls
+    }
+
+    /// A log worker's process starts anew: what was sent to the old one counts no more.
+    pub fn restarts(&mut self, worker: usize) {
+        self.loads.remove(&worker);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FIGURES: Figures = Figures {
+        answer_slack: Span(16_000),
+        drain_grace: Span(500_000),
+        fall_multiple: 3.0,
+        fall_span: Span(3_000_000),
+        alone: false,
+    };
+
+    fn at(ms: i64) -> Time {
+        Time(ms * 1000)
+    }
+
+    fn broken(checker: &Checker) -> Vec<u64> {
+        RULES.iter().map(|rule| checker.broken(*rule)).collect()
+    }
+
+    #[test]
+    fn an_attempt_that_is_out_may_have_run() {
+        let mut checker = Checker::new(FIGURES);
+        checker.taken(1, Effect::Unsafe, at(1000));
+        checker.sent(at(0), 0, 0, 1);
+        checker.ended(1, 0, Outcome::TurnedAway);
+        checker.sent(at(1), 0, 1, 1);
+        assert_eq!(broken(&checker), [0, 0, 0, 0]);
+        checker.answered(at(2), 1, true);
+        assert_eq!(broken(&checker), [0, 1, 0, 0]);
+    }
+
+    #[test]
+    fn safe_jobs_may_go_again_and_be_refused() {
+        let mut checker = Checker::new(FIGURES);
+        checker.taken(1, Effect::Safe, at(1000));
+        checker.sent(at(0), 0, 0, 1);
+        checker.sent(at(1), 0, 1, 1);
+        checker.answered(at(2), 1, true);
+        assert_eq!(broken(&checker), [0, 0, 0, 0]);
+        checker.answered(at(3), 1, false);
+        assert_eq!(broken(&checker), [1, 0, 0, 0], "two answers");
+    }
+
+    #[test]
+    fn the_first_word_of_a_drain_counts() {
+        let mut checker = Checker::new(FIGURES);
+        checker.told(at(0), 0, 7, false);
+        checker.told(at(400), 0, 7, false);
+        checker.sent(at(500), 0, 7, 1);
+        checker.sent(at(600), 1, 7, 2);
+        assert_eq!(broken(&checker), [0, 0, 0, 0], "in time, and one that was not told");
+        checker.sent(at(501), 0, 7, 3);
+        assert_eq!(broken(&checker), [0, 0, 1, 0]);
+        checker.told(at(700), 0, 7, true);
+        checker.sent(at(5000), 0, 7, 4);
+        assert_eq!(broken(&checker), [0, 0, 1, 0]);
+    }
+
+    #[test]
+    fn a_burst_spends_the_budget_before_the_span_has_passed() {
+        let mut checker = Checker::new(FIGURES);
+        // It bears 3 x 1 x 3 = 9 within 3 s.
+        assert!(!checker.loads(at(0), 0, 5.0, true, 1.0));
+        assert!(!checker.loads(at(10), 0, 4.0, true, 1.0));
+        assert!(checker.loads(at(20), 0, 2.0, true, 1.0));
+        assert_eq!(broken(&checker), [0, 0, 0, 1]);
+        // Spread over more time, the same work is borne.
+        let mut checker = Checker::new(FIGURES);
+        for n in 0..10 {
+            assert!(!checker.loads(at(n * 1500), 0, 4.0, true, 1.0));
+        }
+        // It falls, but those who did not know are not to blame.
+        let mut checker = Checker::new(FIGURES);
+        assert!(!checker.loads(at(0), 0, 5.0, false, 1.0));
+        assert!(checker.loads(at(1), 0, 5.0, true, 1.0));
+        assert_eq!(broken(&checker), [0, 0, 0, 0]);
+    }
+
+    #[test]
+    fn who_gets_no_answer_is_found_once() {
+        let mut checker = Checker::new(FIGURES);
+        checker.taken(1, Effect::Safe, at(1000));
+        checker.overdue(at(1016));
+        assert_eq!(broken(&checker), [0, 0, 0, 0]);
+        checker.overdue(at(1017));
+        checker.overdue(at(2000));
+        assert_eq!(broken(&checker), [1, 0, 0, 0]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plot.rs
@@ -0,0 +1,163 @@
+//! Plots, and a report of its own in one file: a page with tables and drawings in it, which needs nothing else.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+
+use plotters::prelude::*;
+use thiserror::Error;
+
+use crate::experiment::figure;
+use crate::report::Report;
+use crate::scenario::{Incident, Scenario, TROUBLES};
+
+/// A drawing that failed.
+#[derive(Debug, Error)]
+#[error("the plot {0:?} could not be drawn: {1}")]
+pub struct PlotError(String, String);
+
+/// A line of a plot.
+pub struct Line {
+    /// What it shows.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+const SIZE: (u32, u32) = (860, 320);
+
+/// Draws lines over the same axes, as SVG. Incidents are drawn as shades behind them.
+///
+/// # Errors
+/// The drawing library says why it could not.
+pub fn lines(
+    title: &str,
+    axes: (&str, &str),
+    lines: &[Line],
+    shades: &[(f64, f64)],
+) -> Result<String, PlotError> {
+    let mut svg = String::new();
+    draw(&mut svg, axes, lines, shades).map_err(|error| PlotError(title.into(), error.to_string()))?;
+    Ok(svg)
+}
+
+fn draw(
+    svg: &mut String,
+    (x_name, y_name): (&str, &str),
+    lines: &[Line],
+    shades: &[(f64, f64)],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let points = || lines.iter().flat_map(|line| &line.points);
+    let right = points().map(|p| p.0).chain(shades.iter().map(|s| s.1)).fold(1e-9, f64::max);
+    let left = points().map(|p| p.0).fold(right, f64::min).min(0.0);
+    let top = points().map(|p| p.1).fold(1e-9, f64::max) * 1.05;
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(8)
+        .x_label_area_size(36)
+        .y_label_area_size(52)
+        .build_cartesian_2d(left..right, 0.0..top)?;
+    let shade =
+        |(from, to): &(f64, f64)| Rectangle::new([(*from, 0.0), (*to, top)], BLACK.mix(0.07).filled());
+    chart.draw_series(shades.iter().map(shade))?;
+    chart.configure_mesh().x_desc(x_name).y_desc(y_name).light_line_style(BLACK.mix(0.04)).draw()?;
+    for (at, line) in lines.iter().enumerate() {
+        let color = Palette99::pick(at).to_rgba();
+        let series = LineSeries::new(line.points.iter().copied(), color.stroke_width(2));
+        chart
+            .draw_series(series)?
+            .label(line.name.clone())
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color.stroke_width(2)));
+    }
+    if lines.len() > 1 {
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerRight)
+            .background_style(WHITE.mix(0.85))
+            .border_style(BLACK.mix(0.2))
+            .draw()?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+/// Service over time, a line for each policy: the mean of the seeds.
+///
+/// # Errors
+/// As [`lines`].
+pub fn service(scenario: &Scenario, reports: &[Report]) -> Result<String, PlotError> {
+    let policy_lines: Vec<Line> = reports
+        .chunk_by(|a, b| a.policy == b.policy)
+        .map(|of| {
+            let mut sums: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+            for window in of.iter().flat_map(|report| &report.windows) {
+                let sum = sums.entry(window.from_s as u64).or_default();
+                *sum = (sum.0 + window.service, sum.1 + 1.0);
+            }
+            let points = sums.into_iter().map(|(from, (sum, count))| (from as f64, sum / count));
+            Line { name: of[0].policy.clone(), points: points.collect() }
+        })
+        .collect();
+    let shade = |i: &Incident| (i.at.secs(), (i.at.secs() + i.length.secs()));
+    let shades: Vec<(f64, f64)> = scenario.incidents.iter().map(shade).collect();
+    let axes = ("start of the window, s", "worth answered in time");
+    lines("service over time", axes, &policy_lines, &shades)
+}
+
+fn escape(text: impl Display) -> String {
+    text.to_string().replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+/// The page. It is one file, with no scripts and nothing from elsewhere.
+///
+/// # Errors
+/// As [`lines`].
+pub fn page(title: &str, scenario: &Scenario, reports: &[Report]) -> Result<String, PlotError> {
+    let mut rows = String::new();
+    for of in reports.chunk_by(|a, b| a.policy == b.policy) {
+        let mean = |get: &dyn Fn(&Report) -> f64| of.iter().map(get).sum::<f64>() / of.len() as f64;
+        let service = figure(&of.iter().map(|r| r.service).collect::<Vec<_>>());
+        let broken: u64 = of.iter().flat_map(|r| r.rules.values()).sum();
+        let cells = [
+            escape(&of[0].policy),
+            format!("{:.3}", service.mean),
+            match service.count > 1 {
+                true => format!("{:.3} to {:.3}", service.low, service.high),
+                false => "one seed".into(),
+            },
+            format!("{:.3}", mean(&|r| r.whole)),
+            format!("{:.3}", mean(&|r| r.worst_window)),
+            format!("{:.3}", mean(&|r| r.worst_class)),
+            format!("{:.2}", mean(&Report::hit_ratio)),
+            format!("{:.0}", mean(&|r| r.p99_ms)),
+            if broken == 0 { "kept".into() } else { format!("broken {broken} times") },
+        ];
+        rows.push_str(&format!("<tr><td>{}</td></tr>\n", cells.join("</td><td>")));
+    }
+    let incidents: String = scenario
+        .incidents
+        .iter()
+        .map(|i| {
+            let name = TROUBLES.iter().find(|(_, t)| *t == i.trouble).map_or("?", |(name, _)| name);
+            let (at, length) = (i.at.secs(), i.length.secs());
+            format!("<li>{name}: at {at} s for {length} s, part {}, size {}</li>\n", i.part, i.size)
+        })
+        .collect();
+    let seeds = reports.chunk_by(|a, b| a.policy == b.policy).next().map_or(0, <[Report]>::len);
+    let plot = service(scenario, reports)?;
+    Ok(format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title>\n<style>\n\
+         body {{ font: 15px/1.5 sans-serif; max-width: 900px; margin: 2em auto; color: #222 }}\n\
+         table {{ border-collapse: collapse }} td, th {{ padding: 3px 10px; border-bottom: 1px solid #ddd; text-align: left }}\n\
+         svg {{ max-width: 100%; height: auto }}\n</style></head><body>\n<h1>{title}</h1>\n\
+         <p>{workers} log workers, {dispatchers} dispatchers, load {load}, {length} s, {seeds} seeds.</p>\n\
+         <ul>\n{incidents}</ul>\n<h2>Service by policy</h2>\n<table>\n<tr><th>policy</th><th>service</th>\
+         <th>95 % interval</th><th>whole</th><th>worst window</th><th>worst class</th><th>archives at hand</th>\
+         <th>p99 ms</th><th>rules</th></tr>\n{rows}</table>\n<h2>Service over time</h2>\n{plot}\n</body></html>\n",
+        title = escape(title),
+        workers = scenario.count("workers"),
+        dispatchers = scenario.count("dispatchers"),
+        load = scenario.get("clients.load"),
+        length = scenario.span("length").secs(),
+    ))
+}
