Give the lab the paper's experiment, and let it reach 12,000 log workers and 300 dispatchers

Need: the design goes back to a paper whose experiment nobody here had played; and the checkers looked through all jobs ten times a simulated second, which ends at some thousands of log workers.

Change: `rookspoke-lab paper` plays eight workers and thirty applications with the five policies of the paper; deadlines are kept in order, the true state is brought up to date only where a policy looks at it, and a job's dispatcher is found without looking at all of them.

--- a/crates/lab/src/bin/rookspoke-lab.rs
+++ b/crates/lab/src/bin/rookspoke-lab.rs
@@ -8,11 +8,11 @@
 use clap::{Args, Parser, Subcommand};
 use rookspoke_lab::experiment::{compare, figure, play_all, set};
 use rookspoke_lab::journal;
-use rookspoke_lab::plot;
 use rookspoke_lab::policy::{Kind, NAMED};
 use rookspoke_lab::report::Report;
 use rookspoke_lab::scenario::{Scenario, CLASS_PARAMS, PARAMS, TROUBLES};
 use rookspoke_lab::script;
+use rookspoke_lab::{paper, plot};
 
 /// Rehearses incidents of the fleet in simulated time.
 #[derive(Debug, Parser)]
@@ -49,6 +49,12 @@
         #[arg(long, value_name = "NAME=VALUE,...", value_parser = pair)]
         over: (String, String),
     },
+    /// Play the experiment of the paper that the design goes back to
+    Paper {
+        /// How many seeds
+        #[arg(long, default_value_t = 8)]
+        seeds: u64,
+    },
     /// Say what changed between two files of reports, and whether the seeds support it
     Compare {
         /// The earlier one
@@ -100,6 +106,7 @@
         Command::Run { what, out, html, svg, windows } => run(&what, &Files { out, html, svg }, windows),
         Command::Sweep { what, over } => sweep(&what, &over),
         Command::Compare { before, after } => compare_files(&before, &after),
+        Command::Paper { seeds } => paper(seeds),
         Command::Journal { folder } => journal::read(&folder)
             .map(|journal| say(&journal::tell(&journal)))
             .map_err(|error| error.to_string()),
@@ -265,6 +272,27 @@
     Ok(())
 }
 
+fn paper(seeds: u64) -> Result<(), String> {
+    let seeds: Vec<u64> = (1..=seeds.max(1)).collect();
+    for (name, kept) in paper::KEPT {
+        let scenario = paper::scenario(kept).map_err(|problem| told(&problem))?;
+        let reports = play_all(&scenario, &paper::POLICIES, &seeds).map_err(|error| error.to_string())?;
+        say(&format!(
+            "{name}, {kept} kept    hit ratio  95 % interval       c_v  95 % interval    mean ms\n"
+        ));
+        for of in reports.chunk_by(|a, b| a.policy == b.policy) {
+            let values = |get: Reading| figure(&of.iter().map(get).collect::<Vec<_>>());
+            let (hits, spread, mean) =
+                (values(Report::hit_ratio), values(|r| r.spread), values(|r| r.mean_ms));
+            say(&format!(
+                "{:<16} {:>9.3}  {:.3} to {:.3} {:>9.3}  {:.3} to {:.3} {:>9.0}\n",
+                of[0].policy, hits.mean, hits.low, hits.high, spread.mean, spread.low, spread.high, mean.mean
+            ));
+        }
+    }
+    Ok(())
+}
+
 /// One figure of a report.
 type Reading = fn(&Report) -> f64;
 
--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -1,7 +1,7 @@
 //! The four rules, checked from outside: by what happened, not by what a policy says. Written apart from the
 //! decisions, so that a mistake in one is not in the other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rookspoke_decisions::{Effect, Outcome, Span, Time};
 
@@ -50,6 +50,8 @@
 
 /// The part of the work that those told of a start must have sent, for the fall to be theirs.
 const TOLD_PART: f64 = 2.0 / 3.0;
+/// How long a job is remembered after its deadline.
+const KEPT: Span = Span(60_000_000);
 /// The slack for chance that the fall-over rule grants.
 const CHANCE: f64 = 1.05;
 
@@ -76,6 +78,10 @@
 pub struct Checker {
     figures: Figures,
     jobs: BTreeMap<u64, Job>,
+    /// Jobs by their deadlines, answered or not.
+    deadlines: BTreeSet<(Time, u64)>,
+    /// Those whose time is up, to be forgotten in a while.
+    over: VecDeque<(Time, u64)>,
     /// For each dispatcher and log worker: when it was told of the drain or the end that holds now.
     told: BTreeMap<(usize, usize), Time>,
     loads: BTreeMap<usize, Vec<Load>>,
@@ -92,6 +98,8 @@
         Checker {
             figures,
             jobs: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            over: VecDeque::new(),
             told: BTreeMap::new(),
             loads: BTreeMap::new(),
             broken: BTreeMap::new(),
@@ -118,6 +126,7 @@
 
     /// A dispatcher took a job.
     pub fn taken(&mut self, id: u64, effect: Effect, deadline: Time) {
+        self.deadlines.insert((deadline, id));
         self.jobs.insert(id, Job { effect, deadline, answered: false, left: false, attempts: Vec::new() });
     }
 
@@ -178,15 +187,21 @@
     /// Looks for jobs whose time is up.
     pub fn overdue(&mut self, now: Time) {
         let limit = now - self.figures.answer_slack;
-        let late: Vec<u64> =
-            self.jobs.iter().filter(|(_, j)| !j.answered && j.deadline < limit).map(|(id, _)| *id).collect();
-        for id in late {
-            self.left(id);
-            self.breaks(Rule::OneAnswer, now, format!("job {id} got no answer"));
+        while let Some((deadline, id)) = self.deadlines.first().copied().filter(|first| first.0 < limit) {
+            self.deadlines.remove(&(deadline, id));
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if !job.answered {
+                self.left(id);
+                self.breaks(Rule::OneAnswer, now, format!("job {id} got no answer"));
+            }
+            // Its attempts end by then, too, so nobody asks about it any more.
+            self.over.push_back((deadline, id));
+        }
+        let old = now - KEPT;
+        while let Some((_, id)) = self.over.front().copied().filter(|first| first.0 < old) {
+            self.over.pop_front();
+            self.jobs.remove(&id);
         }
-        // What is over and long past is asked about by nobody.
-        let old = now - Span(120_000_000);
-        self.jobs.retain(|_, job| !job.answered || job.deadline > old);
     }
 
     /// A dispatcher was told that a log worker takes work, or that it does not.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod experiment;
 pub mod journal;
 pub mod model;
+pub mod paper;
 pub mod plot;
 pub mod policy;
 pub mod report;
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -25,7 +25,7 @@
 pub use worker::{Begins, Job, Make, Order, Worker};
 
 use crate::check::{Checker, Figures, Rule, RULES};
-use crate::policy::{Kind, Policy, SharedTruth};
+use crate::policy::{Kind, Policy, SharedTruth, Way};
 use crate::report::{ClassReport, Report, Window};
 use crate::rng::{stream, Stream};
 use crate::scenario::{Incident, Scenario, Trouble};
@@ -142,6 +142,8 @@
     open: BTreeMap<u64, Vec<usize>>,
     checker: Checker,
     truth: SharedTruth,
+    /// Somebody looks at it.
+    sees_truth: bool,
     clients: SmallRng,
     network: SmallRng,
     discovery_rng: SmallRng,
@@ -279,6 +281,7 @@
                 alone: !s.on("limits.second-copies"),
             }),
             truth: Rc::clone(&truth),
+            sees_truth: kind == Kind::Plain(Way::Top),
             clients: stream(seed, Stream::Clients, 0),
             network: stream(seed, Stream::Network, 0),
             discovery_rng: stream(seed, Stream::Discovery, 0),
@@ -476,11 +479,13 @@
     // Clients.
 
     fn arrive(&mut self, call: usize) {
-        let zone = self.calls[call].zone;
-        let near: Vec<usize> = (0..self.seats.len()).filter(|seat| self.seats[*seat].zone == zone).collect();
-        let all: Vec<usize> = (0..self.seats.len()).collect();
-        let of = if near.is_empty() { &all } else { &near };
-        let seat = of[self.clients.random_range(0..of.len())];
+        // Dispatchers are dealt out over the zones in turn; a zone without one goes to any.
+        let (zone, zones, all) = (self.calls[call].zone, self.zones.len(), self.seats.len());
+        let near = (all + zones - 1 - zone) / zones;
+        let seat = match near {
+            0 => self.clients.random_range(0..all),
+            near => zone + zones * self.clients.random_range(0..near),
+        };
         let time = Span::from_ms(self.s.classes[self.calls[call].class].get("deadline"));
         let id = self.next_id;
         self.next_id += 1;
@@ -1055,6 +1060,20 @@
 
     /// Brings the truth up to date, for the policy that sees it; looks for jobs without an answer.
     fn tick(&mut self) {
+        let now = self.now;
+        if self.sees_truth {
+            self.tell_truth();
+        }
+        self.checker.overdue(now);
+        if self.resets > 0.0 {
+            self.reset_some();
+        }
+        if now < self.end + TAIL {
+            self.after(STEP, What::Tick);
+        }
+    }
+
+    fn tell_truth(&self) {
         let now = self.now;
         let mut truth = self.truth.borrow_mut();
         truth.backlog = self.machines.iter().map(|machine| machine.worker.backlog(now)).collect();
@@ -1066,14 +1085,6 @@
             .map(|m| m.worker.is_cold(now).then(|| self.s.get("rules.fall-multiple") * m.worker.nominal(now)))
             .collect();
         truth.keeps = self.machines.iter().map(|m| m.worker.archives().to_vec()).collect();
-        drop(truth);
-        self.checker.overdue(now);
-        if self.resets > 0.0 {
-            self.reset_some();
-        }
-        if now < self.end + TAIL {
-            self.after(STEP, What::Tick);
-        }
     }
 
     fn reset_some(&mut self) {
@@ -1355,6 +1366,7 @@
             fetches: self.store.begun,
             starts: self.counts.starts,
             falls: self.counts.falls,
+            mean_ms: self.latency.mean() / 1000.0,
             p50_ms: quantile(0.5),
             p99_ms: quantile(0.99),
             spread: spread(&self.machines.iter().map(|m| m.worker.worked).collect::<Vec<_>>()),
--- a/crates/lab/src/policy/simple.rs
+++ b/crates/lab/src/policy/simple.rs
@@ -39,7 +39,7 @@
 /// The bound of consistent hashing with bounded loads, as a factor of the mean.
 const BOUND: f64 = 1.25;
 /// Slots out at one log worker beyond which its keys go elsewhere, in PASch.
-const THRESHOLD: f64 = 6.0;
+const THRESHOLD: f64 = 8.0;
 /// A job that nobody may take now is looked at again after this.
 const AGAIN: Span = Span(20_000);
 /// The part of a cold one's budget that all dispatchers together plan to use.
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -73,6 +73,8 @@
     pub starts: u64,
     /// Cold log workers that fell over.
     pub falls: u64,
+    /// Mean time to an answer, from when the client meant to send.
+    pub mean_ms: f64,
     /// Median time to an answer, from when the client meant to send.
     pub p50_ms: f64,
     /// The 99th percentile of it.
