Put report fields and list sources into one place each; drop state that nobody read

Need: the reading of a report's columns stood in the wire and in the channel, the name of a list source in the resolver and in the daemon; in the lab, two fields were written and never read and a struct held one vector.

Change: ReportField::put and ListSource's Display serve both sides; the dead state is gone. The daemon's line at its start now names the list source in the resolver's words.

Behaviour is meant to be the same, so nothing else was measured.

--- a/crates/channel/src/report.rs
+++ b/crates/channel/src/report.rs
@@ -26,16 +26,7 @@
 fn from_fields<'a>(fields: impl Iterator<Item = (&'a str, f64)>, words: &Vocabulary) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for (name, value) in fields.filter(|f| f.1.is_finite()) {
-        let value = Some(value);
-        match field(name, words) {
-            ReportField::Inflight => report.inflight = value,
-            ReportField::Queue => report.queue = value,
-            ReportField::Util => report.util = value,
-            ReportField::Errors => report.errors_per_s = value,
-            ReportField::FreeSlots => report.free_slots = value,
-            ReportField::FreeMemory => report.free_memory = value,
-            ReportField::Other => {}
-        }
+        field(name, words).put(&mut report, value);
     }
     (report != LoadReport::default()).then_some(report)
 }
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -88,11 +88,7 @@
         while let Some(now) = order.take() {
             let watched = matches!(now, Order::Watch | Order::Move(_));
             if let Order::Move(source) = now {
-                tracing::info!(
-                    "the list comes from {} now, and no longer from {}",
-                    name(&source),
-                    name(&self.source)
-                );
+                tracing::info!("the list comes from {} now, and no longer from {}", source, self.source);
                 // What another service calls a version proves nothing here.
                 (self.source, self.rev) = (source, None);
             }
@@ -170,13 +166,6 @@
     }
 }
 
-fn name(source: &ListSource) -> String {
-    match source {
-        ListSource::Discovery(address) => format!("discovery at {address}"),
-        ListSource::Fixed(list) => format!("a fixed list of {}", list.targets.len()),
-    }
-}
-
 /// Ends a connection's task, and with it the connection.
 pub(super) struct ConnectionTask(pub tokio::task::JoinHandle<()>);
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod list;
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,6 +60,15 @@
     Fixed(Arc<Update>),
 }
 
+impl fmt::Display for ListSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ListSource::Discovery(address) => write!(f, "discovery at {address}"),
+            ListSource::Fixed(list) => write!(f, "a fixed list of {}", list.targets.len()),
+        }
+    }
+}
+
 /// The whole configuration of a dispatcher.
 #[derive(Clone, Debug)]
 pub struct Config {
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -102,10 +102,6 @@
     held: bool,
 }
 
-struct Policies {
-    all: Vec<Box<dyn Policy>>,
-}
-
 /// What one run counted.
 #[derive(Debug, Default)]
 struct Counts {
@@ -130,7 +126,7 @@
     payload: BTreeMap<u64, What>,
     put: u64,
     seats: Vec<Seat>,
-    policies: Policies,
+    policies: Vec<Box<dyn Policy>>,
     machines: Vec<Machine>,
     store: Store,
     store_version: u64,
@@ -155,7 +151,6 @@
     cut: u32,
     late_reports: Span,
     resets: f64,
-    costly: Vec<(f64, f64)>,
     hit: Vec<Vec<usize>>,
     counts: Counts,
     served: Vec<(usize, Time, bool, f64)>,
@@ -264,7 +259,7 @@
             payload: BTreeMap::new(),
             put: 0,
             seats: (0..dispatchers).map(|number| Seat::new(number % zones)).collect(),
-            policies: Policies { all },
+            policies: all,
             machines: machines.collect(),
             store: Store::new(s.get("store.together")),
             store_version: 0,
@@ -292,7 +287,6 @@
             cut: 0,
             late_reports: Span(0),
             resets: 0.0,
-            costly: Vec::new(),
             hit: vec![Vec::new(); s.incidents.len()],
             counts: Counts::default(),
             served: Vec::new(),
@@ -640,7 +634,7 @@
         let events: VecDeque<Event> = std::mem::take(&mut one.events);
         let mut actions = Vec::new();
         for event in events {
-            self.policies.all[seat].handle(now, event, &mut actions);
+            self.policies[seat].handle(now, event, &mut actions);
             for action in std::mem::take(&mut actions) {
                 self.act(seat, action);
             }
@@ -1215,10 +1209,7 @@
             Trouble::ReportsLate => self.late_reports = self.late_reports + size_span(size),
             Trouble::Resets => self.resets += size,
             Trouble::ZoneCut => self.cut += 1,
-            Trouble::Costly => {
-                self.costly.push((incident.part, size));
-                self.make_costly(incident);
-            }
+            Trouble::Costly => self.make_costly(incident),
             Trouble::DiscoveryGone => {
                 self.discovery_gone += 1;
                 for seat in 0..self.seats.len() {
--- a/crates/lab/src/policy/bad.rs
+++ b/crates/lab/src/policy/bad.rs
@@ -1,11 +1,10 @@
 //! Policies with one fault each. A checker that none of them trips would check nothing.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use rand::rngs::SmallRng;
 use rookspoke_decisions::{
-    Action, Dispatcher, Effect, Event, Name, Outcome, Readiness, RequestId, Settings, SettingsError, Span,
-    Time,
+    Action, Dispatcher, Effect, Event, Outcome, Readiness, RequestId, Settings, SettingsError, Span, Time,
 };
 
 use super::{Policy, SharedTruth, Simple, Way};
@@ -44,7 +43,7 @@
             settings.limits.second_copies = false;
             Box::new(Dispatcher::new(settings, seed)?)
         }
-        Fault::Drain => Box::new(Deaf { inner: Dispatcher::new(settings, seed)?, known: BTreeMap::new() }),
+        Fault::Drain => Box::new(Deaf { inner: Dispatcher::new(settings, seed)? }),
         Fault::Cold => {
             settings.rules.ramp = Span(0);
             Box::new(Simple::new(Way::LeastLoaded, settings, rng, truth.clone()))
@@ -83,7 +82,6 @@
 
 struct Deaf {
     inner: Dispatcher,
-    known: BTreeMap<Name, rookspoke_decisions::Listing>,
 }
 
 impl Policy for Deaf {
@@ -95,7 +93,6 @@
                     if entry.readiness == Readiness::Draining {
                         entry.readiness = Readiness::InService;
                     }
-                    self.known.insert(entry.worker.clone(), entry.clone());
                     entry
                 });
                 Event::List { scope, entries: heard.collect() }
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use rookspoke_channel::Channel;
-use rookspoke_config::{Config, ListSource};
+use rookspoke_config::Config;
 use rookspoke_dispatch::Counters;
 use rookspoke_faktory::{self as faktory, FaktoryConfig};
 use rookspoke_vrrp as vrrp;
@@ -170,14 +170,6 @@
     }
 }
 
-/// What a list source is called in the log.
-fn source(source: &ListSource) -> String {
-    match source {
-        ListSource::Discovery(address) => format!("discovery is at {address}"),
-        ListSource::Fixed(list) => format!("a fixed list of {} log workers", list.targets.len()),
-    }
-}
-
 /// Serves until told to end.
 ///
 /// # Errors
@@ -203,7 +195,7 @@
         daemon.start_faktory(&setup.config, faktory).await?;
     }
     daemon.start_http(&setup.config).await?;
-    tracing::info!("{}: {}", setup.config.name, source(&setup.config.source));
+    tracing::info!("{}: the list comes from {}", setup.config.name, setup.config.source);
     let _control = control.map(|control| daemon.start_control(&setup.config.name, control));
     let mut ticks = tokio::time::interval(logging::REPORT);
     let code = loop {
--- a/crates/wire/src/parse.rs
+++ b/crates/wire/src/parse.rs
@@ -4,7 +4,6 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 
-use super::settings::ReportField;
 use super::{Vocabulary, WireError};
 use rookspoke_decisions::{
     AttemptEnd, ClassId, Event, ListScope, Listing, LoadReport, Name, Note, Outcome, Readiness, Request,
@@ -90,16 +89,7 @@
             continue;
         }
         let value = v.parse().ok().filter(|n: &f64| n.is_finite());
-        let value = Some(value.ok_or_else(|| unread("telemetry", row))?);
-        match column {
-            ReportField::Inflight => report.inflight = value,
-            ReportField::Queue => report.queue = value,
-            ReportField::Util => report.util = value,
-            ReportField::Errors => report.errors_per_s = value,
-            ReportField::FreeSlots => report.free_slots = value,
-            ReportField::FreeMemory => report.free_memory = value,
-            ReportField::Other => {}
-        }
+        column.put(&mut report, value.ok_or_else(|| unread("telemetry", row))?);
     }
     Ok(Some(report))
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -4,7 +4,8 @@
 
 use super::WireError;
 use rookspoke_decisions::{
-    Class, Discovery, Effect, Group, KindId, Limits, Name, Reporting, Rules, Settings, Span, Tenant,
+    Class, Discovery, Effect, Group, KindId, Limits, LoadReport, Name, Reporting, Rules, Settings, Span,
+    Tenant,
 };
 
 /// What later lines need of an instance's settings.
@@ -47,6 +48,22 @@
     Other,
 }
 
+impl ReportField {
+    /// Puts a value where it belongs in a report.
+    pub fn put(self, report: &mut LoadReport, value: f64) {
+        let place = match self {
+            ReportField::Inflight => &mut report.inflight,
+            ReportField::Queue => &mut report.queue,
+            ReportField::Util => &mut report.util,
+            ReportField::Errors => &mut report.errors_per_s,
+            ReportField::FreeSlots => &mut report.free_slots,
+            ReportField::FreeMemory => &mut report.free_memory,
+            ReportField::Other => return,
+        };
+        *place = Some(value);
+    }
+}
+
 struct Pairs<'a>(FxHashMap<&'a str, &'a str>);
 
 fn bad(key: &str, value: &str) -> WireError {
