--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -33,7 +33,8 @@
 const LEAST_LEFT: f64 = 0.02; // the part of a reserved kind that jobs with a choice keep
 const PROBE_AFTER: Span = Span(700_000); // age of news after which a worker looked at is probed
 const PROBES: usize = 2; // at most, for a job
-const FIRST_PROBES: usize = 8; // at most, in a round, to workers that never reported
+const FIRST_PROBES: usize = 8; // at most, in a round, to workers that never reported,
+const SWEEPERS: usize = 4; // shared by all beyond so many: a worker answers few at a time, and each has its price
 const WAITS: Span = Span(60_000); // a job not started after this waits in a queue: no slot is free there
 const HURRY: f64 = 0.25; // part of its aim after which a job not started is offered to another worker,
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
@@ -51,6 +52,7 @@
 const COLD_PART: f64 = 0.35; // of the cold budget is planned: a span can hold twice that, the rest is margin
 const ROUND: Span = Span(250_000); // between two rounds of housekeeping
 const ASK_AGAIN: Span = Span(500_000); // pause after a failed list call, doubled once: a drain counts as told
+const ASK_WORK: Span = Span(50_000); // of discovery for one call: all that ask again share it, or none is heard
 const ASK_WAIT: Span = Span(2_500_000); // a call is answered, or fails, within this
 const ASK_DOUBLINGS: u32 = 1; // within seconds, heard or not, so a lost list cannot be left alone for long
 
@@ -120,9 +122,13 @@
             Event::Outcome(end) => self.on_outcome(end, out),
             Event::ClientGone(id) => self.end(id, out),
             Event::Timer(_) => self.armed = self.armed.filter(|at| *at > self.now),
-            Event::Probed { worker, load, .. } => {
+            Event::Probed { worker, outcome, load, .. } => {
                 let id = self.fleet.probed(&worker);
                 self.on_report(id, load);
+                // Nobody there: better learned so than by a job. Too many probes at a time say nothing.
+                if let (Some(id), Outcome::NoConnection) = (id, outcome) {
+                    self.judge(id, outcome);
+                }
             }
             Event::Peer { .. } => {}
         }
@@ -134,7 +140,8 @@
             // A worker's slots show in the report of an idle one; under load they are taken for fewer.
             if self.s.reporting == Reporting::Probe && self.s.limits.probes {
                 let ready = self.fleet.ready.clone();
-                let unknown = self.fleet.probe_stale(ready.iter(), Time(i64::MIN), FIRST_PROBES);
+                let most = FIRST_PROBES * SWEEPERS / self.s.balancers.max(SWEEPERS);
+                let unknown = self.fleet.probe_stale(ready.iter(), Time(i64::MIN), most);
                 out.extend(unknown.into_iter().map(Action::Probe));
             }
             let follows = self.s.discovery == Discovery::Automatic || self.asking.subscribed;
@@ -156,9 +163,9 @@
 
     /// Backoff with jitter: after an outage of the list not all may call at once.
     fn plan_ask(&mut self) {
-        let pause = (ASK_AGAIN.0 << self.asking.fails.saturating_sub(1).min(ASK_DOUBLINGS))
-            .min(self.s.rules.ask_every.0 / 2)
-            .max(1);
+        let least = ASK_AGAIN.0.max(ASK_WORK.0 * self.s.balancers as i64);
+        let pause = least << self.asking.fails.saturating_sub(1).min(ASK_DOUBLINGS);
+        let pause = pause.min(self.s.rules.ask_every.0).max(1);
         self.asking.next = self.now + Span(pause / 2 + self.rng.random_range(0..=pause));
     }
 
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -275,3 +275,62 @@
     }
     assert!((6..60).contains(&asks), "{asks} calls in a minute");
 }
+
+/// A hundred dispatchers that each looked at every worker were most of what the workers heard in their first
+/// seconds, and most of these probes were turned down.
+#[test]
+fn a_fleet_shared_by_many_is_not_swept_with_probes() {
+    let mut s = settings(&[Effect::Safe]);
+    (s.reporting, s.balancers) = (Reporting::Probe, 100);
+    let mut host = Host::new(s, 0);
+    host.ms += 300.0;
+    let actions = host.tell(list(ListScope::Complete, (0..60).map(listing).collect()));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Probe(_))), "{actions:?}");
+    let asked = host.ask(1, 0, Some("k"));
+    assert!(asked.iter().any(|a| matches!(a, Action::Probe(_))), "what a job looks at is still probed");
+}
+
+/// A process that has just started reports neither use nor free slots: taken at its word it has one slot, in use.
+#[test]
+fn a_first_report_of_nothing_says_nothing() {
+    let mut s = settings(&[Effect::Safe]);
+    s.reporting = Reporting::Probe;
+    let mut host = Host::new(s, 2);
+    let blank = LoadReport { free_slots: Some(0.0), util: Some(0.0), ..LoadReport::default() };
+    let first = sent_to(&host.ask(0, 0, Some("k"))).expect("sent");
+    serve(&mut host, 0, None);
+    let (worker, latency) = (Name::from(first.as_str()), Span::from_ms(1.0));
+    host.tell(Event::Probed { worker, outcome: Outcome::Served, latency, load: Some(blank) });
+    assert_eq!(sent_to(&host.ask(1, 0, Some("k"))), Some(first), "its key stays");
+}
+
+/// After a release a probe finds out who is gone for less than a job's attempt.
+#[test]
+fn a_probe_that_finds_nobody_keeps_jobs_away() {
+    let mut s = settings(&[Effect::Safe]);
+    s.reporting = Reporting::Probe;
+    let mut host = Host::new(s, 2);
+    let first = sent_to(&host.ask(0, 0, Some("k"))).expect("sent");
+    serve(&mut host, 0, None);
+    let (worker, latency) = (Name::from(first.as_str()), Span::from_ms(1.0));
+    host.tell(Event::Probed { worker, outcome: Outcome::NoConnection, latency, load: None });
+    assert_ne!(sent_to(&host.ask(1, 0, Some("k"))), Some(first));
+}
+
+/// Discovery works through one call after another. Many that ask again within a second keep its queue full, and
+/// it gives up on every call before it answers one.
+#[test]
+fn many_dispatchers_ask_again_no_faster_than_discovery_can_answer_them() {
+    let mut s = settings(&[Effect::Safe]);
+    (s.discovery, s.balancers) = (Discovery::Subscribe, 100);
+    let mut host = Host::new(s, 2);
+    let (mut asked, start) = (0, host.ms);
+    while host.ms < start + 60_000.0 {
+        host.ms += 50.0;
+        if host.tell(Event::Timer(0)).contains(&Action::Subscribe) {
+            asked += 1;
+            host.tell(list(ListScope::Failed, Vec::new()));
+        }
+    }
+    assert!((4..=15).contains(&asked), "{asked} calls in a minute");
+}
