Let a new job wait for a probe where many share the fleet, on a kept connection

Each of 100 dispatchers sends a worker a job in tens of seconds, so nearly all sends were blind: the probe went out beside the job and came back after it (choose), and what it said was mixed at 0.3 into news of minutes ago (on_report). Each probe and job opened a connection anew, 2.2 for each request, since nothing kept is used after 1.5 s of silence (Subchannel::reuse).

Change: beyond 4 dispatchers a new job waits 80 ms at most for the probe of the worker chosen, if its news is over 2 s old; such news is replaced, not blended; a probe may use a kept connection, since it only loses a probe, and the job after it follows.

--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -84,6 +84,17 @@
 #[derive(Clone)]
 pub struct Subchannel(Arc<Inner>);
 
+/// What goes over a connection, by what it loses with one that leads nowhere.
+#[derive(Clone, Copy, PartialEq)]
+enum What {
+    /// A request that must never run twice: its answer.
+    Once,
+    /// A request that may be sent again: its time.
+    Again,
+    /// A probe: nothing but the probe. It finds out for the request after it whether somebody is there.
+    Probe,
+}
+
 /// A failed attempt, by how it ended.
 type Failed = Outcome;
 
@@ -139,11 +150,12 @@
         *lock(&self.0.heard) = Instant::now();
     }
 
-    fn reuse(&self, once: bool) -> Option<Connection> {
+    fn reuse(&self, what: What) -> Option<Connection> {
         self.sweep();
         let severed = *lock(&self.0.shared.severed);
-        let distrusted = once && severed.is_some_and(|at| at.elapsed() < DISTRUST);
-        if distrusted || lock(&self.0.heard).elapsed() > UNHEARD {
+        let distrusted = what == What::Once && severed.is_some_and(|at| at.elapsed() < DISTRUST);
+        let unheard = what != What::Probe && lock(&self.0.heard).elapsed() > UNHEARD;
+        if distrusted || unheard {
             return None;
         }
         // The newest first: the others get the chance to grow old.
@@ -185,10 +197,10 @@
         &self,
         request: impl Fn() -> Request<Full<Bytes>>,
         body_len: usize,
-        once: bool,
+        what: What,
         may_send: impl Fn() -> bool,
     ) -> Result<(Connection, Response<Incoming>), Failed> {
-        if let Some(mut connection) = self.reuse(once) {
+        if let Some(mut connection) = self.reuse(what) {
             if !may_send() {
                 self.keep(connection);
                 return Err(Outcome::NotSent);
@@ -238,9 +250,9 @@
             self.address_to_host(request.headers_mut());
             request
         };
+        let what = if call.once { What::Once } else { What::Again };
         let may_send = || self.0.ready.load(Ordering::Acquire) && shared.clock.now() < attempt.deadline;
-        let (connection, response) = match self.exchange(request, call.body.len(), call.once, may_send).await
-        {
+        let (connection, response) = match self.exchange(request, call.body.len(), what, may_send).await {
             Ok(done) => done,
             Err(outcome) => return outcome.into(),
         };
@@ -347,7 +359,7 @@
             request
         };
         let probe = async {
-            let (connection, response) = self.exchange(request, 0, false, || true).await?;
+            let (connection, response) = self.exchange(request, 0, What::Probe, || true).await?;
             self.hears();
             let outcome = if response.status().is_success() { Outcome::Served } else { Outcome::Error };
             let header = load_header(response.headers(), &shared.words);
@@ -362,7 +374,11 @@
         match timeout(PROBE_TIMEOUT, probe).await {
             Ok(Ok(probed)) => probed,
             Ok(Err(outcome)) => failed(outcome),
-            Err(_) => failed(Outcome::NoAnswer),
+            Err(_) => {
+                // Kept ones lead to the same place.
+                self.close_idle();
+                failed(Outcome::NoAnswer)
+            }
         }
     }
 }
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -272,12 +272,6 @@
     /// Learns its slots from a report; returns the slots in use, with the queue. Behind a report
     /// of no free slots that tells of no queue, one of `hidden` parts of the slots is taken for likely.
     pub fn learn(&mut self, load: LoadReport, hidden: f64, unknown: f64) -> Option<f64> {
-        // No free slot and no use either: it has not looked yet, and its slots are not none. Later the same
-        // words tell of a process that stands still.
-        let blank = load.free_slots.is_some_and(|f| f <= 0.0) && load.util.is_some_and(|u| u <= 0.0);
-        if blank && self.learned_slots.is_none() {
-            return None;
-        }
         if let Some(free) = load.free_slots {
             let held = load.inflight.filter(|_| free >= 1.0).unwrap_or(0.0);
             self.learned_slots = Some(self.learned_slots.unwrap_or(1.0).max((free + held).round()));
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -35,6 +35,8 @@
 const PROBES: usize = 2; // at most, for a job
 const FIRST_PROBES: usize = 8; // at most, in a round, to workers that never reported,
 const SWEEPERS: usize = 4; // shared by all beyond so many: a worker answers few at a time, and each has its price
+const OLD: Span = Span(2_000_000); // age of news that says nothing: where many share a fleet each hears seldom,
+const LOOK: Span = Span(80_000); // and a new job waits so long at most for the answers to probes
 const WAITS: Span = Span(60_000); // a job not started after this waits in a queue: no slot is free there
 const HURRY: f64 = 0.25; // part of its aim after which a job not started is offered to another worker,
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
@@ -247,12 +249,27 @@
                 self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
                 self.conclude(id, out)
             }
+            Some(worker) if self.looks(worker, &job) => {
+                self.book.look_at(id, Some(last.min(self.now + HOLD)));
+            }
             Some(worker) => self.send(id, worker, out),
             None if job.over_share => self.conclude(id, out),
             None => self.book.look_at(id, Some(last.min(self.now + HOLD))),
         }
     }
 
+    /// Whether a new job waits for a probe of the worker chosen: of a hundred dispatchers each would take the same
+    /// worker for free, and a job that must not run twice has no second choice.
+    fn looks(&self, to: Wid, job: &Job) -> bool {
+        let asks = self.s.reporting == Reporting::Probe && self.s.limits.probes;
+        let old = |w: &Worker| w.probe_out && w.reported.is_none_or(|at| self.now - at > OLD);
+        let shared = self.s.balancers > SWEEPERS;
+        asks && shared
+            && job.attempts.is_empty()
+            && self.now - job.arrived < LOOK
+            && self.fleet.get(to).is_some_and(old)
+    }
+
     /// A job that waits in a queue is offered to another worker as a second copy, where that is allowed: news
     /// of free slots is too old to choose well at first. The copy that starts calls off the other.
     fn hurry(&mut self, id: RequestId, last: Time, out: &mut Vec<Action>) {
@@ -612,7 +629,9 @@
         let (Some(w), Some(load)) = (worker.and_then(|id| self.fleet.get_mut(id)), load) else { return };
         let Some(held) = w.learn(load, HIDDEN_QUEUE, PAPER_FULL) else { return };
         let others = held - w.smooth_own(now, OWN_SMOOTH);
-        w.blend_others(others, REPORT_GAIN);
+        // What is left of old news is no mean, but a wrong figure.
+        let old = w.reported.is_none_or(|at| now - at > OLD);
+        w.blend_others(others, if old { 1.0 } else { REPORT_GAIN });
         w.reported = Some(now);
         self.fill += (held / w.learned_slots.unwrap_or(PAPER_FULL) - self.fill) * FILL_GAIN;
     }
