Draw where scans begin where many share the fleet, and leave small fleets as they were

Old news alike for all sends all to the same worker (the scan in order, and the emptiest worker for a late job in choose).

Change: beyond 4 dispatchers a scan begins at a drawn one of the key's first workers, twice as many as fill if all see the key as often; a late job's way out is drawn; the worker chosen is probed before others; all of it only there.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -249,7 +249,7 @@
                 self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
                 self.conclude(id, out)
             }
-            Some(worker) if self.looks(worker, &job) => {
+            Some(worker) if job.attempts.is_empty() && self.looks(worker, job.arrived) => {
                 self.book.look_at(id, Some(last.min(self.now + HOLD)));
             }
             Some(worker) => self.send(id, worker, out),
@@ -258,16 +258,17 @@
         }
     }
 
-    /// Whether a new job waits for a probe of the worker chosen: of a hundred dispatchers each would take the same
-    /// worker for free, and a job that must not run twice has no second choice.
-    fn looks(&self, to: Wid, job: &Job) -> bool {
+    /// Whether so many share the fleet that each sees but a sliver of a worker's jobs, and hears of it seldom.
+    fn shared(&self) -> bool {
+        self.s.balancers > SWEEPERS
+    }
+
+    /// Whether a job waits for a probe of the worker chosen, until `since` is `LOOK` ago: of a hundred dispatchers
+    /// each would take the same worker for free, and a job that must not run twice has no second choice.
+    fn looks(&self, to: Wid, since: Time) -> bool {
         let asks = self.s.reporting == Reporting::Probe && self.s.limits.probes;
         let old = |w: &Worker| w.probe_out && w.reported.is_none_or(|at| self.now - at > OLD);
-        let shared = self.s.balancers > SWEEPERS;
-        asks && shared
-            && job.attempts.is_empty()
-            && self.now - job.arrived < LOOK
-            && self.fleet.get(to).is_some_and(old)
+        asks && self.shared() && self.now - since < LOOK && self.fleet.get(to).is_some_and(old)
     }
 
     /// A job that waits in a queue is offered to another worker as a second copy, where that is allowed: news
@@ -391,6 +392,16 @@
         (t, part)
     }
 
+    /// Among how many of a key's first workers a dispatcher draws where its scan begins: twice what is filled if all
+    /// see the key as often as this one just did. Reports are older than a job is long, and where each of many sees
+    /// a key once in a while, all would take the same worker for free until the next report.
+    fn home(&self, t: &Assigned, job: &Job) -> usize {
+        let sharers = self.s.balancers as f64 / self.s.zones.len().max(1) as f64;
+        let asked = sharers * self.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
+        let first = t.near.first().and_then(|id| self.fleet.get(*id)).map_or(PAPER_FULL, |w| self.slots(w));
+        1 + (2.0 * asked / (T_BUSY * first).max(1.0)) as usize
+    }
+
     /// How far beyond T[key] the scan goes. Each step is likely a fetch from the shared store: under pressure
     /// scattered keys swamp it, fetches hold slots, and the jam feeds itself.
     fn width(&self, order: &[Wid], pressure: f64) -> usize {
@@ -405,6 +416,9 @@
         // A job without a key has a table entry of its own, for this one look.
         let key = job.key.unwrap_or_else(|| self.rng.random());
         let (mut t, part) = self.entry(key, kind);
+        let home = if self.shared() { self.home(&t, job).min(t.near.len()) } else { 1 };
+        let drawn = if self.shared() { self.rng.random::<u32>() as usize } else { 0 };
+        let from = drawn % home.max(1);
         let healthy = |w: &Worker| self.now >= w.shunned_until && w.holds(job);
         let fits =
             |id: &Wid| !job.tried(*id) && self.fleet.get(*id).is_some_and(healthy) && self.may_send(job, *id);
@@ -422,7 +436,9 @@
             };
             let (near, far) = (self.width(&t.near, self.pressure), self.width(&t.far, HIGH_PRESSURE));
             let near = (t.workers.len() + near).min(t.near.len());
-            best = scan(&t.near[..near]).or_else(|| scan(&t.far[..far]));
+            let mut of = t.near[..near].to_vec();
+            of[..home.min(near)].rotate_left(from.min(near));
+            best = scan(&of).or_else(|| scan(&t.far[..far]));
             t.workers.extend(best);
         }
         // All seem Full: the shortest queue of T[key] and as many next in its order, so that overload does
@@ -438,8 +454,11 @@
         let full = best.is_none_or(|id| late(id) > LATE);
         if full && !job.over_share {
             let all = t.near.iter().chain(&t.far).copied().filter(fits).map(|id| (late(id), id));
-            let other = all.filter(|o| o.0 <= HURRY_LATE).min_by(|a, b| a.0.total_cmp(&b.0));
-            best = other.map(|o| o.1).or(best);
+            let mut other: Vec<_> = all.filter(|o| o.0 <= HURRY_LATE).collect();
+            other.sort_by(|a, b| a.0.total_cmp(&b.0));
+            // The emptiest that all know of is the fullest a report later.
+            let at = if self.shared() { drawn % other.len().max(1) } else { 0 };
+            best = other.get(at).map(|o| o.1).or(best);
         }
         // A repeat is bound to its group, which the key's order may not hold.
         if best.is_none() && job.may_have_run() {
@@ -448,7 +467,8 @@
         if self.s.reporting == Reporting::Probe && self.s.limits.probes {
             // Of other zones there is no news until it is asked for.
             let far = t.far.iter().take(if full { SAMPLE } else { 0 });
-            let looked_at = far.chain(&best).chain(&t.workers).chain(&t.near).take(SAMPLE + 1);
+            let first = best.iter().take(if self.shared() { 1 } else { 0 });
+            let looked_at = first.chain(far).chain(&best).chain(&t.workers).chain(&t.near).take(SAMPLE + 1);
             let stale = self.fleet.probe_stale(looked_at, self.now - PROBE_AFTER, PROBES);
             out.extend(stale.into_iter().map(Action::Probe));
         }
@@ -630,7 +650,7 @@
         let Some(held) = w.learn(load, HIDDEN_QUEUE, PAPER_FULL) else { return };
         let others = held - w.smooth_own(now, OWN_SMOOTH);
         // What is left of old news is no mean, but a wrong figure.
-        let old = w.reported.is_none_or(|at| now - at > OLD);
+        let old = self.s.balancers > SWEEPERS && w.reported.is_none_or(|at| now - at > OLD);
         w.blend_others(others, if old { 1.0 } else { REPORT_GAIN });
         w.reported = Some(now);
         self.fill += (held / w.learned_slots.unwrap_or(PAPER_FULL) - self.fill) * FILL_GAIN;
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -296,19 +296,21 @@
     let mut s = settings(&[Effect::Unsafe]);
     (s.reporting, s.balancers) = (Reporting::Probe, 100);
     let mut host = Host::new(s, 8);
-    let first = host.ask(1, 0, Some("k"));
-    let probed: Vec<Name> =
-        first.iter().filter_map(|a| if let Action::Probe(w) = a { Some(w.clone()) } else { None }).collect();
-    assert!(sent_to(&first).is_none() && probed.len() >= 2, "{first:?}");
-    let (outcome, latency) = (Outcome::Served, Span::from_ms(2.0));
-    // The first one looked at is full; the other is not.
-    for (at, worker) in probed.iter().enumerate() {
-        let load = LoadReport { free_slots: Some([0.0, 4.0][at.min(1)]), ..LoadReport::default() };
-        host.tell(Event::Probed { worker: worker.clone(), outcome, latency, load: Some(load) });
+    let mut actions = host.ask(1, 0, Some("k"));
+    assert!(sent_to(&actions).is_none(), "{actions:?}");
+    // The first one looked at is full; the others are not.
+    let (outcome, latency, mut full) = (Outcome::Served, Span::from_ms(2.0), None);
+    while sent_to(&actions).is_none() {
+        for action in std::mem::take(&mut actions) {
+            let Action::Probe(worker) = action else { continue };
+            let load = if *full.get_or_insert(worker.clone()) == worker { free(0.0) } else { free(4.0) };
+            actions.extend(host.tell(Event::Probed { worker, outcome, latency, load }));
+        }
+        host.ms += 25.0;
+        assert!(host.ms < 1_200.0, "it waits for too long");
+        actions.extend(host.tell(Event::Timer(0)));
     }
-    host.ms += 25.0;
-    let sent = sent_to(&host.tell(Event::Timer(0))).expect("sent");
-    assert_ne!(sent, probed[0].to_string());
+    assert_ne!(sent_to(&actions), full.map(|worker| worker.to_string()));
     // Nor does it wait for ever: no answer at all, and it goes out all the same.
     assert!(sent_to(&host.ask(2, 0, Some("other"))).is_none());
     host.ms += 100.0;
