--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -249,7 +249,7 @@
                 self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
                 self.conclude(id, out)
             }
-            Some(worker) if job.attempts.is_empty() && self.looks(worker, job.arrived) => {
+            Some(worker) if self.looks(worker, job.attempts.last().map_or(job.arrived, |a| a.sent)) => {
                 self.book.look_at(id, Some(last.min(self.now + HOLD)));
             }
             Some(worker) => self.send(id, worker, out),
@@ -264,7 +264,8 @@
     }
 
     /// Whether a job waits for a probe of the worker chosen, until `since` is `LOOK` ago: of a hundred dispatchers
-    /// each would take the same worker for free, and a job that must not run twice has no second choice.
+    /// each would take the same worker for free, and a job that must not run twice has no second choice. After a
+    /// zone is lost all its attempts would go, within moments, to workers that are not there.
     fn looks(&self, to: Wid, since: Time) -> bool {
         let asks = self.s.reporting == Reporting::Probe && self.s.limits.probes;
         let old = |w: &Worker| w.probe_out && w.reported.is_none_or(|at| self.now - at > OLD);
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -347,3 +347,18 @@
     }
     assert!((4..=15).contains(&asked), "{asked} calls in a minute");
 }
+
+/// After a zone was lost its jobs spent all their attempts, within a second, on workers that were not there.
+#[test]
+fn an_attempt_after_one_that_found_nobody_waits_for_a_probe_too() {
+    let mut s = settings(&[Effect::Unsafe]);
+    (s.reporting, s.balancers) = (Reporting::Probe, 100);
+    let mut host = Host::new(s, 8);
+    host.ask(1, 0, Some("k"));
+    host.ms += 100.0;
+    assert!(sent_to(&host.tell(Event::Timer(0))).is_some(), "no probe was answered");
+    let after = host.tell(ended(1, 0, Outcome::NoConnection, false, None));
+    assert!(sent_to(&after).is_none(), "{after:?}");
+    host.ms += 100.0;
+    assert!(sent_to(&host.tell(Event::Timer(0))).is_some(), "it waits no longer than for the first");
+}
