Count a zone's dispatchers and ask whether many share the fleet in one place each

Found on reading the change again: home() wrote the sharers of per_second_of_all() anew, without its lower bound of one, and on_report() the condition of shared().

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -201,11 +201,15 @@
         }
     }
 
+    /// Dispatchers of a zone, at the mean: those that share its jobs.
+    fn sharers(&self) -> f64 {
+        (self.s.balancers as f64 / self.s.zones.len().max(1) as f64).max(1.0)
+    }
+
     /// Turns what this dispatcher counted over KEY_MEMORY into the rate of all dispatchers of its zone.
     fn per_second_of_all(&self) -> f64 {
         let known = self.born.map_or(0.0, |at| (self.now - at).secs()) / KEY_MEMORY.secs();
-        let sharers = (self.s.balancers as f64 / self.s.zones.len().max(1) as f64).max(1.0);
-        sharers / KEY_MEMORY.secs() / (1.0 - (-known.max(0.1)).exp())
+        self.sharers() / KEY_MEMORY.secs() / (1.0 - (-known.max(0.1)).exp())
     }
 
     fn on_request(&mut self, r: Request, out: &mut Vec<Action>) {
@@ -397,8 +401,7 @@
     /// see the key as often as this one just did. Reports are older than a job is long, and where each of many sees
     /// a key once in a while, all would take the same worker for free until the next report.
     fn home(&self, t: &Assigned, job: &Job) -> usize {
-        let sharers = self.s.balancers as f64 / self.s.zones.len().max(1) as f64;
-        let asked = sharers * self.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
+        let asked = self.sharers() * self.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
         let first = t.near.first().and_then(|id| self.fleet.get(*id)).map_or(PAPER_FULL, |w| self.slots(w));
         1 + (2.0 * asked / (T_BUSY * first).max(1.0)) as usize
     }
@@ -646,12 +649,12 @@
     }
 
     fn on_report(&mut self, worker: Option<Wid>, load: Option<LoadReport>) {
-        let now = self.now;
+        let (now, shared) = (self.now, self.shared());
         let (Some(w), Some(load)) = (worker.and_then(|id| self.fleet.get_mut(id)), load) else { return };
         let Some(held) = w.learn(load, HIDDEN_QUEUE, PAPER_FULL) else { return };
         let others = held - w.smooth_own(now, OWN_SMOOTH);
         // What is left of old news is no mean, but a wrong figure.
-        let old = self.s.balancers > SWEEPERS && w.reported.is_none_or(|at| now - at > OLD);
+        let old = shared && w.reported.is_none_or(|at| now - at > OLD);
         w.blend_others(others, if old { 1.0 } else { REPORT_GAIN });
         w.reported = Some(now);
         self.fill += (held / w.learned_slots.unwrap_or(PAPER_FULL) - self.fill) * FILL_GAIN;
