--- a/crates/channel/src/connection.rs
+++ b/crates/channel/src/connection.rs
@@ -21,14 +21,18 @@
 
 use super::resolver::ConnectionTask;
 use super::MAX_BUFFER;
+use rookspoke_dispatch::Counters;
 
 /// How far the request on a connection has been written.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Written {
     /// The length of the body whose request comes next.
     body: AtomicUsize,
     /// The last byte is out.
     whole: AtomicBool,
+    /// The request is a call attempt, and counts; a probe does not.
+    counts: AtomicBool,
+    counters: Arc<Counters>,
 }
 
 /// Where in a request the bytes written so far end.
@@ -75,6 +79,10 @@
             }
             if let Place::Body(0) = self.place {
                 self.written.whole.store(true, Ordering::Release);
+                // Here and not after the answer: an attempt that is called off was written, too.
+                if self.written.counts.load(Ordering::Acquire) {
+                    self.written.counters.written.add();
+                }
                 self.place = Place::Head(0);
             }
         }
@@ -131,10 +139,12 @@
         within: Duration,
         epoch: u64,
         room: OwnedSemaphorePermit,
+        counters: Arc<Counters>,
     ) -> io::Result<Self> {
         let stream = timeout(within, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        let written = Arc::new(Written::default());
+        let (body, whole, counts) = Default::default();
+        let written = Arc::new(Written { body, whole, counts, counters });
         let watched = Watched { stream, written: written.clone(), place: Place::Head(0) };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER)
@@ -157,14 +167,16 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends one request; dropping the connection gives it up.
+    /// Sends one request, which may count as a call attempt; dropping the connection gives it up.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         body_len: usize,
+        counts: bool,
     ) -> Result<Response<Incoming>, Broke> {
         self.written.body.store(body_len, Ordering::Release);
         self.written.whole.store(false, Ordering::Release);
+        self.written.counts.store(counts, Ordering::Release);
         let sent = self.sender.send_request(request).await;
         sent.map_err(|_| match self.written.whole.load(Ordering::Acquire) {
             true => Broke::AfterLastByte,
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -29,7 +29,7 @@
 use resolver::{Order, Resolver, ResolverResult};
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
-    Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
+    Ban, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -89,6 +89,7 @@
     end: Arc<OnceLock<Time>>,
     /// For each class, whether its requests must never run twice.
     once: Arc<[bool]>,
+    fleet: Fleet,
 }
 
 impl Channel {
@@ -100,7 +101,7 @@
         let clock = Clock::start();
         let sockets = config.limits.sockets;
         let limits = Limits { queue: 4 * sockets, open_requests: sockets * 2 / 5 };
-        let (handle, core) = Core::new(limits);
+        let (handle, core) = Core::new(limits, config.settings.classes.iter().map(|class| &class.name));
         let notes = handle.clone();
         let shared = Arc::new(Shared {
             clock,
@@ -109,6 +110,7 @@
                 let notes = notes.clone();
                 Box::pin(async move { notes.note(request, attempt, note).await })
             }),
+            counters: handle.counters().clone(),
             room: Arc::new(Semaphore::new((sockets as f64 * WORKER_PART) as usize)),
             connect_timeout: millis(config.connect_timeout_ms),
             max_idle: millis(config.conn_idle_ms * IDLE_PART),
@@ -119,19 +121,19 @@
         // until its list is there.
         let _ = orders.try_send(Order::Watch);
         let (set_ready, ready) = watch::channel(false);
-        let fleet = Fleet { shared, subchannels: Arc::default() };
+        let fleet = Fleet { shared, subchannels: Arc::default(), banned: Arc::default() };
         let transport = Subchannels { fleet: fleet.clone(), orders: orders.clone() };
         let (settings, seed) = (config.settings.clone(), config.seed);
         let core = core.run(settings, seed, clock, transport);
         tokio::spawn(fleet.clone().sweep());
-        tokio::spawn(discover(config, handle.clone(), fleet, inbox, set_ready));
+        tokio::spawn(discover(config, handle.clone(), fleet.clone(), inbox, set_ready));
         let words = Arc::new(config.words.clone());
         let limits = &config.settings.limits;
         let come_back = limits.retry_after.then(|| COME_BACK.min(limits.max_retry_after));
         let open_ids = OpenIds::default();
         let end = Arc::default();
         let once = config.settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
-        (Channel { handle, words, clock, ready, orders, open_ids, come_back, end, once }, core)
+        (Channel { handle, words, clock, ready, orders, open_ids, come_back, end, once, fleet }, core)
     }
 
     /// Adds to a refusal when to come back.
@@ -151,6 +153,18 @@
         let _ = self.orders.send(Order::Move(source)).await;
     }
 
+    /// Whether a log worker is listed, or taken out by hand.
+    pub async fn knows(&self, worker: &str) -> bool {
+        self.handle.knows(worker).await
+    }
+
+    /// Says all that operators have taken out by hand; nothing new goes there once this has ended.
+    pub async fn ban(&self, bans: Arc<[Ban]>) {
+        // The subchannels first: what is dialling already finds them shut.
+        self.fleet.ban(&bans);
+        self.handle.ban(bans).await;
+    }
+
     /// Answers all that is taken from now on within this time.
     pub fn end_within(&self, time: Duration) {
         let _ = self.end.set(self.clock.at(Instant::now() + time));
@@ -301,6 +315,8 @@
 struct Fleet {
     shared: Arc<Shared>,
     subchannels: Arc<std::sync::Mutex<BTreeMap<Name, Subchannel>>>,
+    /// Taken out by hand, listed or not.
+    banned: Arc<std::sync::Mutex<BTreeSet<Name>>>,
 }
 
 impl Fleet {
@@ -308,6 +324,13 @@
         self.subchannels.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    fn ban(&self, bans: &[Ban]) {
+        let new: BTreeSet<Name> = bans.iter().map(|ban| ban.worker.clone()).collect();
+        let mut banned = self.banned.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        self.lock().iter().for_each(|(name, subchannel)| subchannel.set_banned(new.contains(name)));
+        *banned = new;
+    }
+
     fn get(&self, name: &Name) -> Option<Subchannel> {
         self.lock().get(name).cloned()
     }
@@ -315,6 +338,7 @@
     /// Takes a list or its changes. What is gone or draining is shut for new work from this moment on,
     /// before the decisions hear of it.
     fn apply(&self, scope: ListScope, update: &Update) {
+        let banned = self.banned.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let mut subchannels = self.lock();
         if scope != ListScope::Changes {
             let named: BTreeSet<&str> = update.targets.iter().map(|t| t.uid.as_str()).collect();
@@ -335,7 +359,9 @@
             let new = || Subchannel::new(name.clone(), target.endpoint, self.shared.clone());
             let epoch = listing.started.map_or(0, |t| t.0 as u64);
             let ready = listing.readiness == Readiness::InService;
-            subchannels.entry(name.clone()).or_insert_with(new).update(target.endpoint, ready, epoch);
+            let subchannel = subchannels.entry(name.clone()).or_insert_with(new);
+            subchannel.set_banned(banned.contains(&name));
+            subchannel.update(target.endpoint, ready, epoch);
         }
     }
 
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -21,7 +21,7 @@
 use super::lines::Lines;
 use super::{headers, report, Notes};
 use rookspoke_decisions::{LoadReport, Name, Note, Outcome};
-use rookspoke_dispatch::{CallAttempt, Clock, Ended, Probed};
+use rookspoke_dispatch::{CallAttempt, Clock, Counters, Ended, Probed};
 use rookspoke_wire::Vocabulary;
 
 /// Idle connections kept to one log worker.
@@ -58,6 +58,7 @@
     pub clock: Clock,
     pub words: Vocabulary,
     pub notes: Notes,
+    pub counters: Arc<Counters>,
     /// Every connection to a log worker holds a permit.
     pub room: Arc<Semaphore>,
     pub connect_timeout: Duration,
@@ -73,6 +74,8 @@
     shared: Arc<Shared>,
     address: Mutex<SocketAddr>,
     ready: AtomicBool,
+    /// Taken out by hand: not even a probe goes there.
+    banned: AtomicBool,
     /// The start of the log worker's process.
     epoch: AtomicU64,
     idle: Mutex<VecDeque<Connection>>,
@@ -115,6 +118,7 @@
             shared,
             address: Mutex::new(address),
             ready: AtomicBool::new(false),
+            banned: AtomicBool::new(false),
             epoch: AtomicU64::new(0),
             idle: Mutex::default(),
             heard: Mutex::new(Instant::now()),
@@ -136,6 +140,17 @@
         self.0.ready.store(ready, Ordering::Release);
     }
 
+    /// Takes it out by hand, or puts it back. Its process is restarted in between: no connection outlives that.
+    pub fn set_banned(&self, banned: bool) {
+        if self.0.banned.swap(banned, Ordering::AcqRel) != banned {
+            self.close_idle();
+        }
+    }
+
+    fn is_banned(&self) -> bool {
+        self.0.banned.load(Ordering::Acquire)
+    }
+
     pub fn close_idle(&self) {
         lock(&self.0.idle).clear();
     }
@@ -165,7 +180,8 @@
     fn keep(&self, mut connection: Connection) {
         connection.idle_since = Instant::now();
         let mut idle = lock(&self.0.idle);
-        if connection.epoch == self.0.epoch.load(Ordering::Acquire) && idle.len() < MAX_IDLE {
+        let current = connection.epoch == self.0.epoch.load(Ordering::Acquire) && !self.is_banned();
+        if current && idle.len() < MAX_IDLE {
             idle.push_back(connection);
         }
     }
@@ -177,7 +193,7 @@
             Outcome::NotSent
         })?;
         let (address, epoch) = (*lock(&self.0.address), self.0.epoch.load(Ordering::Acquire));
-        match Connection::open(address, shared.connect_timeout, epoch, room).await {
+        match Connection::open(address, shared.connect_timeout, epoch, room, shared.counters.clone()).await {
             Ok(connection) => {
                 self.hears();
                 Ok(connection)
@@ -205,7 +221,7 @@
                 self.keep(connection);
                 return Err(Outcome::NotSent);
             }
-            match connection.send(request(), body_len).await {
+            match connection.send(request(), body_len, what != What::Probe).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(Broke::AfterLastByte) => {
                     tracing::debug!("{}: a kept connection broke under a request", self.0.name);
@@ -221,7 +237,7 @@
             self.keep(connection);
             return Err(Outcome::NotSent);
         }
-        match connection.send(request(), body_len).await {
+        match connection.send(request(), body_len, what != What::Probe).await {
             Ok(response) => Ok((connection, response)),
             Err(Broke::AfterLastByte) => Err(Outcome::ConnectionLost),
             Err(Broke::BeforeLastByte) => Err(Outcome::NoConnection),
@@ -251,7 +267,8 @@
             request
         };
         let what = if call.once { What::Once } else { What::Again };
-        let may_send = || self.0.ready.load(Ordering::Acquire) && shared.clock.now() < attempt.deadline;
+        let takes_work = || self.0.ready.load(Ordering::Acquire) && !self.is_banned();
+        let may_send = || takes_work() && shared.clock.now() < attempt.deadline;
         let (connection, response) = match self.exchange(request, call.body.len(), what, may_send).await {
             Ok(done) => done,
             Err(outcome) => return outcome.into(),
@@ -359,7 +376,7 @@
             request
         };
         let probe = async {
-            let (connection, response) = self.exchange(request, 0, What::Probe, || true).await?;
+            let (connection, response) = self.exchange(request, 0, What::Probe, || !self.is_banned()).await?;
             self.hears();
             let outcome = if response.status().is_success() { Outcome::Served } else { Outcome::Error };
             let header = load_header(response.headers(), &shared.words);
--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -99,6 +99,28 @@
                 "discovery",
                 "Where the list of log workers is asked for. Without it, the `worker` sections are the list.",
             )),
+            key(
+                "console",
+                Kind::Address,
+                Nothing,
+                "console",
+                "Where operators ask: ready, figures, log workers out by hand. Without it there is no such place.",
+            ),
+            key(
+                "state",
+                Kind::Text,
+                Nothing,
+                "state",
+                "The folder of what a restart must not forget: which log workers are out by hand. Without it, none \
+                 can be taken out.",
+            ),
+            key(
+                "accept-fd",
+                Kind::Count { least: 3, most: 1 << 20 },
+                Nothing,
+                "accept_fd",
+                "An inherited descriptor that listens for clients in the place of `listen`.",
+            ),
             key("seed", Kind::Seed, Nothing, "seed", "For random numbers. Without it, another one each start."),
             key(
                 "sockets",
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -76,6 +77,12 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// An inherited descriptor that listens for clients instead.
+    pub accept_fd: Option<i32>,
+    /// Where operators ask.
+    pub console: Option<SocketAddr>,
+    /// The folder of what a restart must not forget.
+    pub state: Option<PathBuf>,
     /// Where the list of log workers comes from.
     pub source: ListSource,
     /// For random numbers.
@@ -100,6 +107,9 @@
 struct Fields {
     name: Option<String>,
     listen: Option<String>,
+    accept_fd: Option<i32>,
+    console: Option<String>,
+    state: Option<PathBuf>,
     discovery: Option<String>,
     seed: Option<String>,
     #[serde(default)]
@@ -158,9 +168,17 @@
         if file.limits.sockets < Resources::LEAST {
             return Err(ConfigError::new("limits.sockets", format!("fewer than {}", Resources::LEAST)));
         }
+        let listen = addr("listen", file.listen)?;
+        let console = file.console.map(|text| addr("console", Some(text))).transpose()?;
+        if console.is_some_and(|console| console == listen && console.port() != 0) {
+            return Err(ConfigError::new("console", "the address of `listen`, expected another"));
+        }
         Ok(Config {
             name: file.name.unwrap_or_default(),
-            listen: addr("listen", file.listen)?,
+            listen,
+            accept_fd: file.accept_fd,
+            console,
+            state: file.state,
             source,
             seed: u64::from_str_radix(&seed, 16)
                 .map_err(|_| ConfigError::new("seed", format!("{seed:?}")))?,
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -364,6 +364,24 @@
     pub readiness: Readiness,
 }
 
+/// A worker that operators have taken out by hand.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ban {
+    /// The worker; it need not be listed.
+    pub worker: Name,
+    /// Since when.
+    pub since: Time,
+}
+
+/// How many workers there are for a dispatcher.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Those in the list: in service, or draining.
+    pub known: usize,
+    /// Those of them that get nothing now: draining, taken out by hand, or shunned after failures.
+    pub skipped: usize,
+}
+
 /// What a list update holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
@@ -485,6 +503,8 @@
         /// The entries.
         entries: Arc<[Listing]>,
     },
+    /// All that operators have taken out by hand; whoever was among them and is no more is back.
+    Bans(Arc<[Ban]>),
     /// A request arrived; exactly one final answer is now owed.
     Request(Request),
     /// A streamed answer started; the request has no deadline any more.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -6,8 +6,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::api::{
-    ClassId, Group, KindId, ListScope, Listing, LoadReport, Name, Readiness, Request, RequestId, Rules,
-    Settings, Span, TenantId, Time,
+    Ban, Census, ClassId, Group, KindId, ListScope, Listing, LoadReport, Name, Readiness, Request, RequestId,
+    Rules, Settings, Span, TenantId, Time,
 };
 
 /// A worker's number at one dispatcher; never reused.
@@ -173,7 +173,11 @@
     pub cell: Option<u64>,
     pub weight: f64,
     pub started: Option<Time>,
-    /// In service by the own list.
+    /// The start that the list tells of.
+    listed_start: Option<Time>,
+    /// What the own list says.
+    readiness: Readiness,
+    /// In service by the own list, and not taken out by hand.
     pub ready: bool,
     /// Slots learned from reports.
     pub learned_slots: Option<f64>,
@@ -210,6 +214,8 @@
             cell: entry.cell,
             weight: entry.weight,
             started: entry.started,
+            listed_start: entry.started,
+            readiness: Readiness::Gone,
             ready: false,
             learned_slots: None,
             own: 0.0,
@@ -414,6 +420,8 @@
     by_name: BTreeMap<Name, Wid>,
     by_id: FxHashMap<Wid, Worker>,
     next: Wid,
+    /// What operators have taken out by hand, and since when.
+    banned: BTreeMap<Name, Time>,
     pub ready: Vec<Wid>,
     /// Those of the own zone and the others; for any job, and for the jobs that need one kind.
     parts: BTreeMap<(bool, Option<KindId>), Parts>,
@@ -433,15 +441,14 @@
     pub fn apply(&mut self, scope: ListScope, entries: &[Listing], s: &Settings, now: Time) {
         if scope != ListScope::Changes {
             let named: FxHashSet<&str> = entries.iter().map(|entry| entry.worker.as_ref()).collect();
-            let left = |id: &Wid| self.by_id.get(id).is_some_and(|w| !named.contains(w.name.as_ref()));
-            let left: Vec<Wid> = self.ready.iter().copied().filter(left).collect();
-            left.into_iter().for_each(|id| self.set_ready(id, false));
+            let left = self.by_name.iter().filter(|(name, _)| !named.contains(name.as_ref()));
+            let left: Vec<Wid> = left.map(|(_, id)| *id).collect();
+            left.into_iter().for_each(|id| self.set_readiness(id, Readiness::Gone));
         }
         for entry in entries {
-            let in_service = entry.readiness == Readiness::InService;
             let id = match self.find(&entry.worker) {
                 Some(id) => id,
-                None if !in_service => continue,
+                None if entry.readiness == Readiness::Gone => continue,
                 None => {
                     self.next += 1;
                     self.by_name.insert(entry.worker.clone(), self.next);
@@ -450,7 +457,8 @@
                 }
             };
             let Some(w) = self.by_id.get_mut(&id) else { continue };
-            if in_service && w.started != entry.started {
+            if entry.readiness == Readiness::InService && w.listed_start != entry.started {
+                w.listed_start = entry.started;
                 w.restart(entry.started, now);
             }
             w.cell = entry.cell.or(w.cell);
@@ -461,12 +469,53 @@
                     self.parts.entry(key).or_default().touch(hash);
                 }
             }
-            self.set_ready(id, in_service);
+            self.set_readiness(id, entry.readiness);
+        }
+    }
+    /// Takes what operators have taken out by hand, whether it is listed or not. What comes back was restarted
+    /// meanwhile, so it is as cold as one can be, unless the list told of that start since.
+    pub fn ban(&mut self, bans: &[Ban], now: Time) {
+        let new = bans.iter().map(|ban| (ban.worker.clone(), ban.since)).collect();
+        let old = std::mem::replace(&mut self.banned, new);
+        let back = old.iter().filter(|(name, _)| !self.banned.contains_key(*name));
+        for (id, since) in
+            back.filter_map(|(name, since)| Some((self.find(name)?, *since))).collect::<Vec<_>>()
+        {
+            if let Some(w) = self.by_id.get_mut(&id).filter(|w| w.listed_start.is_none_or(|at| at < since)) {
+                w.restart(Some(now), now);
+            }
+            self.refresh(id);
+        }
+        for id in bans.iter().filter_map(|ban| self.find(&ban.worker)).collect::<Vec<_>>() {
+            self.refresh(id);
+        }
+    }
+    /// Whether a worker is listed, or taken out by hand.
+    pub fn knows(&self, name: &str) -> bool {
+        let listed =
+            self.find(name).and_then(|id| self.get(id)).is_some_and(|w| w.readiness != Readiness::Gone);
+        listed || self.banned.contains_key(name)
+    }
+    /// Whether operators, and nothing else, leave no worker in service.
+    pub fn all_banned(&self) -> bool {
+        let in_service = || self.by_id.values().any(|w| w.readiness == Readiness::InService);
+        self.ready.is_empty() && !self.banned.is_empty() && in_service()
+    }
+    pub fn census(&self, now: Time) -> Census {
+        let listed = || self.by_id.values().filter(|w| w.readiness != Readiness::Gone);
+        let skipped = listed().filter(|w| !w.ready || now < w.shunned_until).count();
+        Census { known: listed().count(), skipped }
+    }
+    fn set_readiness(&mut self, id: Wid, readiness: Readiness) {
+        if let Some(w) = self.by_id.get_mut(&id) {
+            w.readiness = readiness;
+            self.refresh(id);
         }
     }
     /// Moves a worker into or out of what is in service. One that is gone and owes nothing is forgotten.
-    fn set_ready(&mut self, id: Wid, ready: bool) {
+    fn refresh(&mut self, id: Wid) {
         let Some(w) = self.by_id.get_mut(&id) else { return };
+        let ready = w.readiness == Readiness::InService && !self.banned.contains_key(&w.name);
         if std::mem::replace(&mut w.ready, ready) != ready {
             let (hash, keys, name) = (w.hash, w.parts(), w.name.clone());
             let by_id = &self.by_id;
@@ -525,9 +574,10 @@
         self.forget_if_idle(id);
         Some(id)
     }
-    /// Forgets a worker that is not ready and owes no outcome.
+    /// Forgets a worker that is not listed and owes no outcome.
     pub fn forget_if_idle(&mut self, id: Wid) {
-        if self.by_id.get(&id).is_some_and(|w| !w.ready && w.jobs == 0 && !w.probe_out) {
+        if self.by_id.get(&id).is_some_and(|w| w.readiness == Readiness::Gone && w.jobs == 0 && !w.probe_out)
+        {
             if let Some(w) = self.by_id.remove(&id) {
                 self.by_name.remove(&w.name);
             }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -118,6 +118,7 @@
         self.now = self.now.max(now);
         match event {
             Event::List { scope, entries } => self.on_list(scope, &entries),
+            Event::Bans(bans) => self.fleet.ban(&bans, self.now),
             Event::Request(request) => self.on_request(request, out),
             Event::StreamStarted { request, .. } => self.book.stream(request),
             Event::Note { request, attempt, note } => self.on_note(request, attempt, note, out),
@@ -163,6 +164,16 @@
         }
     }
 
+    /// How many workers there are.
+    pub fn census(&self) -> Census {
+        self.fleet.census(self.now)
+    }
+
+    /// Whether a worker is listed, or taken out by hand.
+    pub fn knows(&self, worker: &str) -> bool {
+        self.fleet.knows(worker)
+    }
+
     /// Backoff with jitter: after an outage of the list not all may call at once.
     fn plan_ask(&mut self) {
         let least = ASK_AGAIN.0.max(ASK_WORK.0 * self.s.balancers as i64);
@@ -257,7 +268,7 @@
                 self.book.look_at(id, Some(last.min(self.now + HOLD)));
             }
             Some(worker) => self.send(id, worker, out),
-            None if job.over_share => self.conclude(id, out),
+            None if job.over_share || self.fleet.all_banned() => self.conclude(id, out),
             None => self.book.look_at(id, Some(last.min(self.now + HOLD))),
         }
     }
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -3,18 +3,27 @@
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use rookspoke_decisions::{Census, ClassId, Name};
+
+use super::Answer;
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
-        /// Running totals since the start; they only grow.
+        /// Running totals since the start, which only grow, and what is so now.
         #[derive(Debug, Default)]
         pub struct Counters {
+            /// Each class's final answers, in the order of the settings.
+            pub classes: Box<[ClassCounters]>,
+            /// What is so now.
+            pub now: Gauges,
             $($(#[$doc])* pub $name: Counter,)*
         }
 
         impl Counters {
             /// Every total with its name, in a fixed order.
             pub fn pairs(&self) -> Vec<(&'static str, u64)> {
-                vec![$((stringify!($name), self.$name.get()),)*]
+                let answers = [("served", self.served()), ("refused", self.refused()), ("failed", self.failed())];
+                answers.into_iter().chain([$((stringify!($name), self.$name.get()),)*]).collect()
             }
         }
 
@@ -39,20 +48,16 @@
     turned_down,
     /// Client connections closed before their time: silent for too long, or to make room.
     closed,
-    /// Requests turned down before they were taken, for want of room.
+    /// Among the refused: those that were not taken, for want of room.
     overload,
-    /// Answers: served.
-    served,
-    /// Answers: refused.
-    refused,
-    /// Answers: failed.
-    failed,
     /// Among the failed: requests that a log worker could not use.
     unusable,
     /// Clients that left before their answer.
     client_gone,
     /// Call attempts that a transport was given.
     sent,
+    /// Call attempts whose request was written to its last byte.
+    written,
     /// Call attempts stopped before they were sent.
     not_sent,
     /// Call attempts called off.
@@ -69,6 +74,89 @@
     lists_failed,
 }
 
+/// A class's final answers.
+#[derive(Debug, Default)]
+pub struct ClassCounters {
+    /// The class.
+    pub name: Option<Name>,
+    /// Served.
+    pub served: Counter,
+    /// Refused, taken or not.
+    pub refused: Counter,
+    /// Failed.
+    pub failed: Counter,
+}
+
+/// What is so now, as the task that owns the decisions last said.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    /// Requests that are owed an answer.
+    pub open: Gauge,
+    /// Listed log workers.
+    pub known: Gauge,
+    /// Those of them that get nothing.
+    pub skipped: Gauge,
+}
+
+impl Gauges {
+    pub(crate) fn publish(&self, open: usize, census: Census) {
+        self.open.set(open);
+        self.known.set(census.known);
+        self.skipped.set(census.skipped);
+    }
+}
+
+impl Counters {
+    /// Counters for these classes, all at 0.
+    pub fn of<'a>(classes: impl Iterator<Item = &'a Name>) -> Self {
+        let class = |name: &Name| ClassCounters { name: Some(name.clone()), ..ClassCounters::default() };
+        Counters { classes: classes.map(class).collect(), ..Counters::default() }
+    }
+
+    /// One more final answer: the only place where they are counted.
+    pub fn answered<R>(&self, class: ClassId, answer: &Answer<R>) {
+        let Some(class) = self.classes.get(class.0) else { return };
+        match answer {
+            Answer::Served(_) => class.served.add(),
+            Answer::Refused { .. } => class.refused.add(),
+            Answer::Failed => class.failed.add(),
+        }
+    }
+
+    fn sum(&self, of: impl Fn(&ClassCounters) -> &Counter) -> u64 {
+        self.classes.iter().map(|class| of(class).get()).sum()
+    }
+
+    /// Requests served.
+    pub fn served(&self) -> u64 {
+        self.sum(|class| &class.served)
+    }
+
+    /// Requests refused, taken or not.
+    pub fn refused(&self) -> u64 {
+        self.sum(|class| &class.refused)
+    }
+
+    /// Requests failed.
+    pub fn failed(&self) -> u64 {
+        self.sum(|class| &class.failed)
+    }
+}
+
+/// A figure that goes up and down.
+#[derive(Debug, Default)]
+pub struct Gauge(AtomicU64);
+
+impl Gauge {
+    fn set(&self, value: usize) {
+        self.0.store(value as u64, Ordering::Relaxed);
+    }
+    /// The figure.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// One running total.
 #[derive(Debug, Default)]
 pub struct Counter(AtomicU64);
--- a/crates/dispatch/src/ledger.rs
+++ b/crates/dispatch/src/ledger.rs
@@ -1,13 +1,14 @@
 //! Which requests are open, their call attempts, and that each gets exactly one final answer.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
-use super::Answer;
-use rookspoke_decisions::{RequestId, Time};
+use super::{Answer, Counters};
+use rookspoke_decisions::{ClassId, RequestId, Time};
 
 pub struct Attempt {
     pub sent: Time,
@@ -17,6 +18,7 @@
 
 pub struct Entry<C, R> {
     pub call: C,
+    class: ClassId,
     pub deadline: Time,
     pub attempts: Vec<Attempt>,
     /// What logs say of it.
@@ -34,15 +36,15 @@
     entries: FxHashMap<RequestId, Entry<C, R>>,
     deadlines: BTreeSet<(Time, RequestId)>,
     open: usize,
+    counters: Arc<Counters>,
 }
 
-impl<C, R> Default for Ledger<C, R> {
-    fn default() -> Self {
-        Ledger { entries: FxHashMap::default(), deadlines: BTreeSet::new(), open: 0 }
+impl<C, R> Ledger<C, R> {
+    /// An empty one, which counts the answers.
+    pub fn new(counters: Arc<Counters>) -> Self {
+        Ledger { entries: FxHashMap::default(), deadlines: BTreeSet::new(), open: 0, counters }
     }
-}
 
-impl<C, R> Ledger<C, R> {
     /// Requests that are still owed an answer.
     pub fn open_requests(&self) -> usize {
         self.open
@@ -51,13 +53,14 @@
     pub fn open(
         &mut self,
         id: RequestId,
+        class: ClassId,
         call: C,
         deadline: Time,
         span: tracing::Span,
         answer: oneshot::Sender<Answer<R>>,
     ) {
         let answer = Some(answer);
-        self.entries.insert(id, Entry { call, deadline, attempts: Vec::new(), span, answer });
+        self.entries.insert(id, Entry { call, class, deadline, attempts: Vec::new(), span, answer });
         self.deadlines.insert((deadline, id));
         self.open += 1;
     }
@@ -74,6 +77,7 @@
         self.deadlines.remove(&(entry.deadline, id));
         self.open -= 1;
         if let Some(answer) = answer {
+            self.counters.answered(entry.class, &answer);
             // A client that left in this very moment is told of by its own guard.
             let _ = to.send(answer);
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,11 +15,11 @@
 use tracing::Span;
 
 pub use clock::Clock;
-pub use counters::{Counter, Counters};
+pub use counters::{ClassCounters, Counter, Counters, Gauge, Gauges};
 pub use task::{Core, Limits};
 
 use rookspoke_decisions::{
-    ClassId, ListScope, Listing, LoadReport, Name, Note, Outcome, RequestId, TenantId, Time,
+    Ban, ClassId, ListScope, Listing, LoadReport, Name, Note, Outcome, RequestId, TenantId, Time,
 };
 
 /// What a front asks for: the part of a request that the decisions need, and what its transport carries.
@@ -135,17 +135,33 @@
     List(ListScope, Arc<[Listing]>),
 }
 
+/// What operators ask of the task. It has a queue of its own: no crowd of requests is before it.
+#[derive(Debug)]
+enum Operator {
+    Knows(Name, oneshot::Sender<bool>),
+    Bans(Arc<[Ban]>, oneshot::Sender<()>),
+}
+
+/// Calls of operators that wait, at most.
+const OPERATORS: usize = 16;
+
 /// The way into a core's queue.
 #[derive(Debug)]
 pub struct Handle<C, R> {
     queue: mpsc::Sender<Input<C, R>>,
+    operators: mpsc::Sender<Operator>,
     next_id: Arc<AtomicU64>,
     counters: Arc<Counters>,
 }
 
 impl<C, R> Clone for Handle<C, R> {
     fn clone(&self) -> Self {
-        Handle { queue: self.queue.clone(), next_id: self.next_id.clone(), counters: self.counters.clone() }
+        Handle {
+            queue: self.queue.clone(),
+            operators: self.operators.clone(),
+            next_id: self.next_id.clone(),
+            counters: self.counters.clone(),
+        }
     }
 }
 
@@ -170,7 +186,9 @@
         // The queue is full: nothing was taken and nothing ran, so this may be refused.
         let (Ok(room), Ok(gone)) = rooms else {
             self.counters.overload.add();
-            return Answer::Refused { retry_after: None };
+            let answer = Answer::Refused { retry_after: None };
+            self.counters.answered(ask.class, &answer);
+            return answer;
         };
         room.send(Input::Ask(id, ask, answer));
         let mut guard = GoneGuard(Some((id, gone)));
@@ -190,6 +208,21 @@
         let _ = self.queue.send(Input::List(scope, entries)).await;
     }
 
+    /// Whether a log worker is listed, or taken out by hand.
+    pub async fn knows(&self, worker: &str) -> bool {
+        let (answer, answered) = oneshot::channel();
+        let _ = self.operators.send(Operator::Knows(worker.into(), answer)).await;
+        answered.await.unwrap_or(false)
+    }
+
+    /// Says all that operators have taken out by hand, and waits until it holds.
+    pub async fn ban(&self, bans: Arc<[Ban]>) {
+        let (done, heard) = oneshot::channel();
+        let _ = self.operators.send(Operator::Bans(bans, done)).await;
+        // A core that has ended sends nothing any more.
+        let _ = heard.await;
+    }
+
     /// The running totals.
     pub fn counters(&self) -> &Arc<Counters> {
         &self.counters
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 
 use rustc_hash::FxHashMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{Id, JoinError, JoinSet};
 use tracing::Instrument;
 
 use super::ledger::{Attempt, Ledger};
-use super::{Answer, CallAttempt, Clock, Counters, Ended, Handle, Input, Probed, Transport};
+use super::{
+    Answer, CallAttempt, Clock, Counters, Ended, Handle, Input, Operator, Probed, Transport, OPERATORS,
+};
 use rookspoke_decisions::{
     Action, AttemptEnd, Dispatcher, Event, ListScope, LoadReport, Name, Outcome, Request, RequestId,
     Settings, SettingsError, Span, Time,
@@ -19,6 +21,8 @@
 /// A request that the decisions left unanswered is failed this long after its deadline: the client still
 /// hears it in time. The settings' own slack is three times as long and more.
 const OVERDUE: Span = Span(5_000);
+/// How old what is published of the log workers may be: well under the half second that operators allow.
+const PUBLISH: Span = Span(100_000);
 
 /// What a core may hold.
 #[derive(Clone, Copy, Debug)]
@@ -42,17 +46,20 @@
 /// A queue whose task has not started yet.
 pub struct Core<C, R> {
     inbox: mpsc::Receiver<Input<C, R>>,
+    operators: mpsc::Receiver<Operator>,
     counters: Arc<Counters>,
     limits: Limits,
 }
 
 impl<C: Clone + Send + 'static, R: Send + 'static> Core<C, R> {
-    /// A queue and the way into it.
-    pub fn new(limits: Limits) -> (Handle<C, R>, Self) {
+    /// A queue and the way into it, for requests of these classes.
+    pub fn new<'a>(limits: Limits, classes: impl Iterator<Item = &'a Name>) -> (Handle<C, R>, Self) {
         let (queue, inbox) = mpsc::channel(limits.queue);
-        let counters = Arc::new(Counters::default());
-        let handle = Handle { queue, next_id: Arc::new(AtomicU64::new(1)), counters: counters.clone() };
-        (handle, Core { inbox, counters, limits })
+        let (to_operators, operators) = mpsc::channel(OPERATORS);
+        let counters = Arc::new(Counters::of(classes));
+        let next_id = Arc::new(AtomicU64::new(1));
+        let handle = Handle { queue, operators: to_operators, next_id, counters: counters.clone() };
+        (handle, Core { inbox, operators, counters, limits })
     }
 
     /// Runs the decisions until every handle is gone.
@@ -72,17 +79,20 @@
             dispatcher: Dispatcher::new(settings, seed)?,
             transport,
             clock,
+            ledger: Ledger::new(self.counters.clone()),
             counters: self.counters,
             limits: self.limits,
-            ledger: Ledger::default(),
             events: VecDeque::new(),
             over: Vec::new(),
             timers: BTreeSet::new(),
             jobs: FxHashMap::default(),
             running: JoinSet::new(),
             next_batch: Time(i64::MIN),
+            heard: Vec::new(),
+            asked: Vec::new(),
+            publish: Time(i64::MIN),
         };
-        task.run(self.inbox).await;
+        task.run(self.inbox, self.operators).await;
         Ok(())
     }
 }
@@ -105,15 +115,26 @@
     running: JoinSet<Done<T::Reply>>,
     /// Batches come no more often than the quantum.
     next_batch: Time,
+    /// Operators who wait until the next batch is decided on.
+    heard: Vec<oneshot::Sender<()>>,
+    /// Log workers that operators ask about.
+    asked: Vec<(Name, oneshot::Sender<bool>)>,
+    /// When what is so is published next.
+    publish: Time,
 }
 
 impl<T: Transport> Task<T> {
-    async fn run(mut self, mut inbox: mpsc::Receiver<Input<T::Call, T::Reply>>) {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Input<T::Call, T::Reply>>,
+        mut operators: mpsc::Receiver<Operator>,
+    ) {
         loop {
             let wake = self.clock.until(self.wake_at());
             // The queue comes first: news of an attempt was sent before its end.
             tokio::select! {
                 biased;
+                Some(call) = operators.recv() => self.hear(call),
                 input = inbox.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
@@ -133,6 +154,26 @@
                 self.batch(now);
             }
             self.fail_overdue();
+            // A list that has come counts, though the decisions hear of it a moment later.
+            if self.events.is_empty() {
+                for (worker, answer) in std::mem::take(&mut self.asked) {
+                    let _ = answer.send(self.dispatcher.knows(&worker));
+                }
+            }
+            if now >= self.publish {
+                self.publish = now + PUBLISH;
+                self.counters.now.publish(self.ledger.open_requests(), self.dispatcher.census());
+            }
+        }
+    }
+
+    fn hear(&mut self, call: Operator) {
+        match call {
+            Operator::Knows(worker, answer) => self.asked.push((worker, answer)),
+            Operator::Bans(bans, heard) => {
+                self.events.push_back(Event::Bans(bans));
+                self.heard.push(heard);
+            }
         }
     }
 
@@ -141,7 +182,7 @@
         let batch = if self.events.is_empty() { timer } else { Some(self.next_batch) };
         let batch = batch.map(|at| at.max(self.next_batch));
         let overdue = self.ledger.next_deadline().map(|at| at + OVERDUE);
-        let idle = self.clock.now() + Span(1_000_000);
+        let idle = self.clock.now() + PUBLISH;
         batch.into_iter().chain(overdue).fold(idle, Time::min)
     }
 
@@ -151,13 +192,15 @@
                 if self.ledger.open_requests() >= self.limits.open_requests {
                     // Never seen by the decisions, so it never ran.
                     self.counters.overload.add();
-                    let _ = answer.send(Answer::Refused { retry_after: None });
+                    let refused = Answer::Refused { retry_after: None };
+                    self.counters.answered(ask.class, &refused);
+                    let _ = answer.send(refused);
                     return;
                 }
                 self.counters.taken.add();
                 ask.span.record("number", tracing::field::display(id));
                 tracing::debug!(parent: &ask.span, "taken");
-                self.ledger.open(id, ask.call, ask.deadline, ask.span, answer);
+                self.ledger.open(id, ask.class, ask.call, ask.deadline, ask.span, answer);
                 self.events.push_back(Event::Request(Request {
                     id,
                     class: ask.class,
@@ -231,15 +274,12 @@
         let outcome = match result {
             // The first answer goes to the client at once, past the decisions.
             Ok(reply) => {
-                if self.ledger.answer(request, Some(Answer::Served(reply))) {
-                    self.counters.served.add();
-                }
+                self.ledger.answer(request, Some(Answer::Served(reply)));
                 Outcome::Served
             }
             // No other log worker can use it either, so this is the end.
             Err(Outcome::Unusable) => {
                 if self.ledger.answer(request, Some(Answer::Failed)) {
-                    self.counters.failed.add();
                     self.counters.unusable.add();
                 }
                 Outcome::Unusable
@@ -282,6 +322,10 @@
         }
         // Not before: until the decisions have heard of the end, they may count on the attempts' numbers.
         over.into_iter().for_each(|id| self.ledger.forget_if_done(id));
+        for heard in std::mem::take(&mut self.heard) {
+            // Whoever asked may have left.
+            let _ = heard.send(());
+        }
     }
 
     fn act(&mut self, now: Time, action: Action) {
@@ -297,14 +341,12 @@
                 self.say(request, "refused by the decisions");
                 if self.ledger.answer(request, Some(Answer::Refused { retry_after })) {
                     self.over.push(request);
-                    self.counters.refused.add();
                 }
             }
             Action::Fail(request) => {
                 self.say(request, "failed by the decisions");
                 if self.ledger.answer(request, Some(Answer::Failed)) {
                     self.over.push(request);
-                    self.counters.failed.add();
                 }
             }
             Action::Subscribe => self.transport.watch(),
@@ -362,7 +404,6 @@
                 tracing::warn!(parent: &entry.span, "left unanswered past its deadline; it is failed");
             }
             self.ledger.answer(id, Some(Answer::Failed));
-            self.counters.failed.add();
             self.over.push(id);
             self.events.push_back(Event::ClientGone(id));
         }
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -89,7 +89,7 @@
     ) -> (Self, impl Future<Output = Result<(), SettingsError>> + Send + 'static) {
         let settings = settings(platform);
         let limits = Limits { queue: 4 * config.max_connections.max(64), open_requests: 4096 };
-        let (handle, core) = Core::new(limits);
+        let (handle, core) = Core::new(limits, settings.classes.iter().map(|class| &class.name));
         let (hall, clock) = (Arc::new(Hall::default()), Clock::start());
         let transport =
             Consumers { hall: hall.clone(), handle: handle.clone(), clock, claim: config.claim() };
@@ -431,8 +431,8 @@
             "faktory": {
                 "listed": listed, "offered": offered, "reserved": reserved,
                 "taken": counters.taken.get(), "turned_down": counters.turned_down.get(),
-                "served": counters.served.get(), "refused": counters.refused.get(),
-                "failed": counters.failed.get(), "client_gone": counters.client_gone.get(),
+                "served": counters.served(), "refused": counters.refused(),
+                "failed": counters.failed(), "client_gone": counters.client_gone.get(),
                 "late_reports": counters.late_reports.get(), "malformed": counters.malformed.get(),
             },
         });
--- a/crates/guard/src/door.rs
+++ b/crates/guard/src/door.rs
@@ -61,10 +61,12 @@
         }
     }
 
-    /// A connection that has come already, before the door is shut: its client would see a reset.
-    pub async fn last(&mut self) -> Option<(Socket, Place)> {
+    /// A connection that has come already, before the door is shut: its client would see a reset. Of a `shared`
+    /// listener only those that are accepted: the others are for whoever shares it.
+    pub async fn last(&mut self, shared: bool) -> Option<(Socket, Place)> {
         let socket = match self.waiting.take() {
             Some(socket) => socket,
+            None if shared => return None,
             None => match tokio::time::timeout(LATE, self.listener.accept()).await {
                 Ok(Ok((stream, _))) => Socket::new(stream),
                 _ => return None,
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use rookspoke_bans::Store;
 use rookspoke_channel::Channel;
 use rookspoke_config::Config;
 use rookspoke_dispatch::Counters;
@@ -19,7 +20,10 @@
 use crate::cli::{self, Given};
 use crate::control::{Control, ControlError, Status};
 use crate::front::Front;
+use crate::inherit::{self, InheritError};
 use crate::logging::{self, Logging};
+use crate::operators::{Bans, Operators};
+use crate::serving::Serving;
 use crate::setup::{Setup, When};
 
 /// Client connections, as a part of the descriptors.
@@ -31,6 +35,9 @@
     /// The system refuses something.
     #[error("{0}: {1}")]
     Io(&'static str, std::io::Error),
+    /// The inherited descriptor is of no use.
+    #[error("accept-fd: {0}")]
+    Inherit(#[from] InheritError),
     /// VRRP could not start.
     #[error("{0}")]
     Vrrp(#[from] rookspoke_config::ConfigError),
@@ -49,7 +56,9 @@
     vrrp: Option<(Arc<vrrp::VrrpCounters>, watch::Receiver<bool>)>,
     stop: watch::Sender<bool>,
     /// Once the HTTP front is up.
-    channel: Option<Channel>,
+    serving: Option<Serving>,
+    /// What operators use; it ends with the process.
+    operators: JoinSet<()>,
     logging: Arc<Logging>,
 }
 
@@ -73,18 +82,51 @@
 
     async fn start_http(&mut self, config: &Config) -> Result<(), StartError> {
         let listen = |e| StartError::Io("listen", e);
-        let listener = TcpListener::bind(config.listen).await.map_err(listen)?;
+        let listener = match config.accept_fd {
+            Some(fd) => TcpListener::from_std(inherit::listener(fd)?).map_err(listen)?,
+            None => TcpListener::bind(config.listen).await.map_err(listen)?,
+        };
         let at = listener.local_addr().map_err(listen)?;
+        let console = match config.console {
+            Some(address) => {
+                Some(TcpListener::bind(address).await.map_err(|e| StartError::Io("console", e))?)
+            }
+            None => None,
+        };
         let (channel, core) = Channel::start(config);
         self.counters.push(("http", channel.counters().clone()));
         self.cores.spawn(async move { tracing::error!("the http core ended: {:?}", core.await) });
-        self.channel = Some(channel.clone());
-        let front = Front::new(channel, (config.limits.sockets as f64 * CLIENT_PART) as usize);
-        self.parts.spawn(front.serve(listener, self.stopped()));
+        let serving = Serving::new(channel.clone());
+        self.serving = Some(serving.clone());
+        if let Some(console) = console {
+            self.start_console(config, console, serving.clone()).await?;
+        }
+        let front = Front::new(serving, (config.limits.sockets as f64 * CLIENT_PART) as usize);
+        self.parts.spawn(front.serve(listener, config.accept_fd.is_some(), self.stopped()));
         tracing::info!("{}: http listens at {at}", config.name);
         Ok(())
     }
 
+    /// Answers operators for as long as the process lives: while it ends, too.
+    async fn start_console(
+        &mut self,
+        config: &Config,
+        listener: TcpListener,
+        serving: Serving,
+    ) -> Result<(), StartError> {
+        let at = listener.local_addr().map_err(|e| StartError::Io("console", e))?;
+        let bans = config.state.as_ref().map(|folder| Arc::new(Bans::new(Store::new(folder))));
+        if let Some(bans) = &bans {
+            // Before the first job and the first probe.
+            bans.look(serving.channel()).await;
+            self.operators.spawn(bans.clone().follow(serving.channel().clone()));
+        }
+        let counters = self.counters.iter().map(|(_, counters)| counters.clone()).collect();
+        self.operators.spawn(rookspoke_console::serve(listener, Operators { serving, counters, bans }));
+        tracing::info!("{}: the console listens at {at}", config.name);
+        Ok(())
+    }
+
     async fn start_faktory(&mut self, config: &Config, faktory: &FaktoryConfig) -> Result<(), StartError> {
         let listen = |e| StartError::Io("faktory.listen", e);
         let listener = TcpListener::bind(faktory.listen).await.map_err(listen)?;
@@ -112,7 +154,7 @@
     /// Answers on the control socket for as long as the process lives: while it ends, too.
     fn start_control(&self, name: &str, control: Control) -> JoinSet<()> {
         let (name, start, stop) = (name.to_owned(), Instant::now(), self.stop.subscribe());
-        let (channel, vrrp, logging) = (self.channel.clone(), self.vrrp.clone(), self.logging.clone());
+        let (serving, vrrp, logging) = (self.serving.clone(), self.vrrp.clone(), self.logging.clone());
         let counters = self.counters.clone();
         let status = move || {
             let own = |pairs: Vec<(&str, u64)>| pairs.into_iter().map(|(n, v)| (n.to_owned(), v)).collect();
@@ -123,7 +165,7 @@
                 version: env!("CARGO_PKG_VERSION").into(),
                 pid: std::process::id(),
                 uptime_s: start.elapsed().as_secs(),
-                ready: channel.as_ref().is_some_and(Channel::is_ready),
+                ready: serving.as_ref().is_some_and(Serving::is_ready),
                 ending: *stop.borrow(),
                 master: vrrp.as_ref().map(|(_, master)| *master.borrow()),
                 log_dropped: logging.dropped() as u64,
@@ -154,8 +196,8 @@
         if !changes.at_restart.is_empty() {
             tracing::warn!("changed, and heeded only after a restart: {}", words(&changes.at_restart));
         }
-        if let (Some(channel), true) = (&self.channel, list) {
-            channel.take_list_from(new.config.source.clone()).await;
+        if let (Some(serving), true) = (&self.serving, list) {
+            serving.channel().take_list_from(new.config.source.clone()).await;
         }
         // What only a restart heeds is still as it was, and so is told again at the next reload.
         setup.resolved.take_live(&new.resolved);
@@ -187,7 +229,8 @@
         counters: Vec::new(),
         vrrp: None,
         stop: watch::Sender::new(false),
-        channel: None,
+        serving: None,
+        operators: JoinSet::new(),
         logging: logging.clone(),
     };
     setup.resolved.warnings.iter().for_each(|warning| tracing::warn!("{warning}"));
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,9 +16,11 @@
 use tokio::task::JoinSet;
 use tower::Service;
 
-use rookspoke_channel::{plain, Channel, ResponseBody, MAX_BUFFER};
+use rookspoke_channel::{plain, ResponseBody, MAX_BUFFER};
 use rookspoke_guard::{Door, Framed, Patience, Place, Room, Socket};
 
+use crate::serving::Serving;
+
 const READY: &str = "/health/ready";
 /// Clients that say nothing are told so within 3 s of connecting: this leaves a second for a late turn.
 const PATIENCE: Patience = Patience {
@@ -40,29 +42,39 @@
 
 /// Serves clients on a listener.
 pub struct Front {
-    channel: Channel,
+    serving: Serving,
     /// Places for client connections.
     room: Room,
-    leaving: Arc<AtomicBool>,
 }
 
 impl Front {
     /// A front with places for `connections` clients.
-    pub fn new(channel: Channel, connections: usize) -> Self {
-        Front { channel, room: Room::new(connections, PATIENCE), leaving: Arc::default() }
+    pub fn new(serving: Serving, connections: usize) -> Self {
+        Front { serving, room: Room::new(connections, PATIENCE) }
     }
 
-    /// Serves until `stop` ends; then goes on for a while, and ends when all that it took is answered.
-    pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Serves until `stop` ends; then goes on for a while, and ends when all that it took is answered. A shared
+    /// listener has another process behind it: what this one does not accept is not lost, so it accepts nothing
+    /// before it is of use, and nothing after it was told to end.
+    pub async fn serve(self, listener: TcpListener, shared: bool, stop: impl Future<Output = ()>) {
         let (close, closing) = watch::channel(false);
         let mut connections = JoinSet::new();
-        let mut door = Door::new(listener, self.room.clone());
         let mut stop = std::pin::pin!(async {
             stop.await;
-            tracing::info!("told to end; clients have {GRACE:?} more");
-            self.leaving.store(true, Ordering::Release);
-            tokio::time::sleep(GRACE).await;
+            self.serving.leaves();
+            if !shared {
+                tracing::info!("told to end; clients have {GRACE:?} more");
+                tokio::time::sleep(GRACE).await;
+            }
         });
+        if shared {
+            tokio::select! {
+                () = self.serving.channel().ready() => {}
+                () = &mut stop => return,
+            }
+        }
+        self.serving.accepts();
+        let mut door = Door::new(listener, self.room.clone());
         loop {
             tokio::select! {
                 (socket, place) = door.next() => self.open(socket, place, &mut connections, closing.clone()),
@@ -70,15 +82,16 @@
                 () = &mut stop => break,
             }
         }
-        while let Some((socket, place)) = door.last().await {
+        while let Some((socket, place)) = door.last(shared).await {
             self.open(socket, place, &mut connections, closing.clone());
         }
         let mut shut = std::pin::pin!(door.shut());
         // Until the last of what was taken so far is answered the process stays anyway: for a while it goes on
-        // serving those that are connected.
-        self.channel.end_within(FINISH);
+        // serving those that are connected, unless the other process can.
+        let (stay, finish) = if shared { (Duration::ZERO, GRACE + FINISH) } else { (STAY, FINISH) };
+        self.serving.channel().end_within(finish);
         let mut last = std::pin::pin!(async {
-            let _ = tokio::time::timeout(STAY, self.room.settled()).await;
+            let _ = tokio::time::timeout(stay, self.room.settled()).await;
             close.send_replace(true);
             std::future::pending().await
         });
@@ -98,16 +111,15 @@
         connections: &mut JoinSet<()>,
         mut closing: watch::Receiver<bool>,
     ) {
-        let (channel, leaving, answers) =
-            (self.channel.clone(), self.leaving.clone(), Arc::new(AtomicU64::new(0)));
-        let counters = channel.counters().clone();
+        let (serving, answers) = (self.serving.clone(), Arc::new(AtomicU64::new(0)));
+        let counters = serving.channel().counters().clone();
         let unread = socket.unread();
         let framed = Framed::new(socket, place.clone(), answers.clone());
         connections.spawn(async move {
             let service = service_fn(move |request| {
-                let (channel, leaving, answers) = (channel.clone(), leaving.clone(), answers.clone());
+                let (serving, answers) = (serving.clone(), answers.clone());
                 async move {
-                    let response = route(channel, leaving.load(Ordering::Acquire), request).await;
+                    let response = route(serving, request).await;
                     answers.fetch_add(1, Ordering::AcqRel);
                     response
                 }
@@ -145,18 +157,14 @@
     }
 }
 
-async fn route(
-    mut channel: Channel,
-    leaving: bool,
-    request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
+async fn route(serving: Serving, request: Request<Incoming>) -> Result<Response<ResponseBody>, Infallible> {
     if request.uri().path() == READY {
-        return Ok(match channel.is_ready() && !leaving {
+        return Ok(match serving.is_ready() {
             true => plain(StatusCode::OK, "ready"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         });
     }
-    let Ok(mut response) = channel.call(request).await;
+    let Ok(mut response) = serving.channel().clone().call(request).await;
     // Its body was not read: where the next request begins, nobody knows.
     if let StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT = response.status() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/rookspoke/src/main.rs
+++ b/crates/rookspoke/src/main.rs
@@ -4,8 +4,11 @@
 mod control;
 mod daemon;
 mod front;
+mod inherit;
 mod logging;
+mod operators;
 mod repeats;
+mod serving;
 mod setup;
 
 use std::io::Write;
--- a/crates/rookspoke/src/setup.rs
+++ b/crates/rookspoke/src/setup.rs
@@ -101,9 +101,14 @@
         };
         let mut overrides = Vec::new();
         if let Some((tree, _)) = &platform {
-            for (variable, key) in
-                [("PROXY_NAME", "name"), ("PROXY_LISTEN", "listen"), ("PROXY_DISCOVERY", "discovery")]
-            {
+            for (variable, key) in [
+                ("PROXY_NAME", "name"),
+                ("PROXY_LISTEN", "listen"),
+                ("PROXY_DISCOVERY", "discovery"),
+                ("PROXY_CONSOLE", "console"),
+                ("PROXY_ACCEPT_FD", "accept-fd"),
+                ("TMPDIR", "state"),
+            ] {
                 let file_says = tree.get(key).is_some_and(|value| !value.is_null());
                 if when == When::Again && key == "discovery" && file_says {
                     continue;
--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -63,13 +63,52 @@
 pub struct Daemon {
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
-    folder: Folder,
+    folder: Arc<Folder>,
+}
+
+/// What the platform holds for a dispatcher over one version after another: the clients' socket and `$TMPDIR`.
+pub struct Place {
+    listener: TcpListener,
+    folder: Arc<Folder>,
+    config: Value,
+}
+
+impl Place {
+    pub fn new(mut config: Value) -> Self {
+        config["console"] = "127.0.0.1:0".into();
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        Place { listener, folder: Arc::new(Folder::new()), config }
+    }
+
+    pub fn clients(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    /// One more process, on descriptor 7.
+    pub fn start(&self) -> Daemon {
+        let path = self.folder.0.join("config.json");
+        std::fs::write(&path, self.config.to_string()).expect("the configuration is written");
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" 7<&0 0</dev/null", env!("CARGO_BIN_EXE_rookspoke")]);
+        command.current_dir(&self.folder.0).env("PROXY_CONFIG", path).env("ROOKSPOKE_LOG", "debug");
+        command.env("PROXY_ACCEPT_FD", "7").env("TMPDIR", &self.folder.0).stdout(Stdio::null());
+        let socket = self.listener.try_clone().expect("a duplicate");
+        command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket)));
+        Daemon::spawn((command, self.folder.clone()))
+    }
+
+    /// One more process, once it says that it is ready.
+    pub fn ready(&self) -> Daemon {
+        let daemon = self.start();
+        wait_for("ready", || (daemon.operator("GET", "ready").status == 200).then_some(()));
+        daemon
+    }
 }
 
 impl Daemon {
     /// How to start one, and the folder that must live as long as it.
-    pub fn command(config: &Value, faktory: Option<&str>) -> (Command, Folder) {
-        let folder = Folder::new();
+    pub fn command(config: &Value, faktory: Option<&str>) -> (Command, Arc<Folder>) {
+        let folder = Arc::new(Folder::new());
         let path = folder.0.join("config.json");
         std::fs::write(&path, config.to_string()).expect("the configuration is written");
         if let Some(text) = faktory {
@@ -98,7 +137,7 @@
         std::fs::write(folder.0.join(SITE), file).expect("the file is written");
         let mut command = program(&folder.0);
         command.args(["serve", "--config", SITE]);
-        Self::spawn((command, folder))
+        Self::spawn((command, Arc::new(folder)))
     }
 
     pub fn replace_site(&self, file: &str) {
@@ -109,7 +148,7 @@
         &self.folder.0
     }
 
-    fn spawn((mut command, folder): (Command, Folder)) -> Self {
+    fn spawn((mut command, folder): (Command, Arc<Folder>)) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the daemon starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, stderr) = (log.clone(), child.stderr.take().expect("standard error"));
@@ -152,6 +191,20 @@
         address[..end].parse().expect("an address")
     }
 
+    /// An operator's call, on a connection of its own.
+    pub fn operator(&self, method: &str, path: &str) -> Message {
+        let text = format!("{method} /control/{path} HTTP/1.1\r\nHost: x\r\n\r\n");
+        ask(self.address("console"), text.as_bytes())
+    }
+
+    /// One of the figures that operators get.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.operator("GET", "counters").text();
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("proxy.{name}:")));
+        let value = line.and_then(|line| line.split_once('|')).map(|(value, _)| value.parse());
+        value.unwrap_or_else(|| panic!("no {name} in {text}")).expect("a number")
+    }
+
     pub fn wait_ready(&self) {
         let address = self.address("http");
         wait_for("ready", || (get(address, "/health/ready").status == 200).then_some(()));
@@ -202,7 +255,9 @@
 pub fn program(folder: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_rookspoke"));
     command.current_dir(folder).stdin(Stdio::null());
-    for name in ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "ROOKSPOKE_LOG"] {
+    for name in
+        ["PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONSOLE", "ROOKSPOKE_LOG"]
+    {
         command.env_remove(name);
     }
     command
