--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -29,7 +29,7 @@
 use resolver::{Order, Resolver, ResolverResult};
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
-    Ban, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
+    Ban, Beliefs, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -165,6 +165,16 @@
         self.handle.ban(bans).await;
     }
 
+    /// What the decisions have learned; none if the core has ended.
+    pub async fn beliefs(&self) -> Option<Beliefs> {
+        self.handle.beliefs().await
+    }
+
+    /// Hands over what the process before this one had learned.
+    pub async fn inherit(&self, beliefs: Beliefs) {
+        self.handle.inherit(beliefs).await;
+    }
+
     /// Answers all that is taken from now on within this time.
     pub fn end_within(&self, time: Duration) {
         let _ = self.end.set(self.clock.at(Instant::now() + time));
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use rookspoke_bans::Store;
 use rookspoke_channel::Channel;
 use rookspoke_config::Config;
 use rookspoke_dispatch::Counters;
 use rookspoke_faktory::{self as faktory, FaktoryConfig};
+use rookspoke_state::bans::Store;
 use rookspoke_vrrp as vrrp;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -20,6 +20,7 @@
 use crate::cli::{self, Given};
 use crate::control::{Control, ControlError, Status};
 use crate::front::Front;
+use crate::heirloom::Heirloom;
 use crate::inherit::{self, InheritError};
 use crate::logging::{self, Logging};
 use crate::operators::{Bans, Operators};
@@ -101,6 +102,13 @@
         if let Some(console) = console {
             self.start_console(config, console, serving.clone()).await?;
         }
+        // A listener that is handed on goes from one process to the next under load.
+        if let (Some(_), Some(folder)) = (config.accept_fd, &config.state) {
+            let classes = config.settings.classes.iter().map(|class| class.name.clone()).collect();
+            let heirloom = Heirloom { folder: folder.clone(), classes };
+            heirloom.take(serving.channel()).await;
+            self.operators.spawn(heirloom.keep(serving.clone()));
+        }
         let front = Front::new(serving, (config.limits.sockets as f64 * CLIENT_PART) as usize);
         self.parts.spawn(front.serve(listener, config.accept_fd.is_some(), self.stopped()));
         tracing::info!("{}: http listens at {at}", config.name);
--- a/crates/rookspoke/src/main.rs
+++ b/crates/rookspoke/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod daemon;
 mod front;
+mod heirloom;
 mod inherit;
 mod logging;
 mod operators;
--- a/crates/rookspoke/src/operators.rs
+++ b/crates/rookspoke/src/operators.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use rookspoke_bans::{BanError, Held, Stamp, Store};
 use rookspoke_channel::Channel;
 use rookspoke_console::{Desk, No};
 use rookspoke_decisions::{Ban, Time};
 use rookspoke_dispatch::{Counter, Counters};
+use rookspoke_state::bans::{BanError, Held, Stamp, Store};
 use tokio::sync::Mutex;
 use tokio::time::{interval, sleep, MissedTickBehavior};
 
--- a/crates/bans/src/lib.rs
+++ b/crates/state/src/bans.rs
@@ -1,11 +1,8 @@
-//! Which log workers operators have taken out by hand: a set in a folder that several processes share, which an
-//! upgrade, a kill at any moment and a damaged file leave readable.
+//! Which log workers operators have taken out by hand: a set that several processes share, which an upgrade, a kill
+//! at any moment and a damaged file leave readable.
 //!
-//! The set stands in two files, one after the other put in place whole by a rename. Each begins with its version,
-//! its checksum and a number that grows with every change; the valid one of the higher number holds. A lock makes
-//! one change of what is read, changed and written.
-
-mod file;
+//! The set stands in two files, one put in place after the other. Each has a number that grows with every change; the
+//! valid one of the higher number holds. A lock makes one change of what is read, changed and written.
 
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions, TryLockError};
@@ -14,8 +11,13 @@
 
 use thiserror::Error;
 
-pub use file::{FileError, MAX_BANS, MAX_NAME};
+use super::file::{self, FileError};
 
+/// The most log workers that may be out.
+pub const MAX_BANS: usize = 4096;
+/// The longest name, in bytes.
+pub const MAX_NAME: usize = 128;
+const KIND: &str = "rookspoke-bans";
 /// The two files; the first is put in place first.
 const NAMES: [&str; 2] = ["rookspoke.bans", "rookspoke.bans.copy"];
 const LOCK: &str = "rookspoke.bans.lock";
@@ -71,7 +73,7 @@
     /// # Errors
     /// Neither file can be read, though there is one.
     pub fn read(&self) -> Result<(Held, Option<FileError>), BanError> {
-        let [first, second] = NAMES.map(|name| file::read(&self.folder.join(name)));
+        let [first, second] = NAMES.map(|name| file::read(&self.folder.join(name), KIND, parse));
         match (first, second) {
             (Ok(None), Ok(None)) => Ok((Held::default(), None)),
             (Ok(first), Ok(second)) => {
@@ -93,7 +95,7 @@
     /// # Errors
     /// As [`BanError`] says; the set is as it was.
     pub fn change(&self, worker: &str, out: bool, now: i64, last: &Held) -> Result<Held, BanError> {
-        file::check_name(worker)?;
+        check_name(worker)?;
         let _lock = self.lock()?;
         let mut held = match self.read() {
             Ok((held, _)) => held,
@@ -111,7 +113,7 @@
             // All that takes room first: a rename takes none.
             let paths = NAMES.map(|name| self.folder.join(name));
             for path in &paths {
-                file::write(path, &held).map_err(|error| BanError::Io(path.clone(), error))?;
+                file::write(path, KIND, &text(&held)).map_err(|error| BanError::Io(path.clone(), error))?;
             }
             for path in paths {
                 file::put_in_place(&path).map_err(|error| BanError::Io(path, error))?;
@@ -147,6 +149,28 @@
     }
 }
 
+fn check_name(name: &str) -> Result<(), BanError> {
+    let fits = (1..=MAX_NAME).contains(&name.len()) && !name.contains(['\n', '\r']);
+    fits.then_some(()).ok_or(BanError::Name(name.len()))
+}
+
+/// A line with the number, then a line `SINCE NAME` for each log worker.
+fn text(held: &Held) -> String {
+    let lines = held.bans.iter().map(|(name, since)| format!("{since} {name}\n"));
+    std::iter::once(format!("{}\n", held.number)).chain(lines).collect()
+}
+
+fn parse(text: &str) -> Result<Held, String> {
+    let (number, lines) = text.split_once('\n').ok_or("found no line with its number")?;
+    let ban = |line: &str| {
+        let (since, name) = line.split_once(' ')?;
+        Some((name.to_owned(), since.parse().ok()?))
+    };
+    let bans: Option<Bans> = lines.lines().map(ban).collect();
+    let number = number.parse().map_err(|_| format!("found the number {number:?}"))?;
+    Ok(Held { bans: bans.ok_or("found a line that is not `SINCE NAME`")?, number })
+}
+
 /// Which files lie in the folder.
 pub type Stamp = [Option<(u64, i64, i64, u64)>; 2];
 
@@ -186,7 +210,7 @@
         let (folder, store) = store();
         let held = store.change("s-1", true, 5, &Held::default()).expect("out");
         // A folder in the place of the second file's draft: it cannot be written.
-        std::fs::create_dir(folder.path().join("rookspoke.bans.copy.next")).expect("a folder");
+        std::fs::create_dir(file::draft(&folder.path().join(NAMES[1]))).expect("a folder");
         assert!(matches!(store.change("s-1", false, 6, &held), Err(BanError::Io(..))));
         assert_eq!(store.read().expect("as before").0, held);
     }
