--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -413,10 +413,6 @@
     pub started: Option<Time>,
     /// Its slots.
     pub slots: Option<f64>,
-    /// Slots in use by all, as of `reported`.
-    pub held: f64,
-    /// When it last told of its load.
-    pub reported: Option<Time>,
     /// Failed attempts in a row, and until when it gets nothing for them.
     pub fails: (u32, Time),
     /// The last turn spent while it was cold.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -244,18 +244,15 @@
             worker: self.name.clone(),
             started: self.listed_start,
             slots: self.learned_slots,
-            held: self.own + self.others.unwrap_or(0.0).max(0.0),
-            reported: self.reported,
             fails: (self.fails, self.shunned_until),
             turn_spent: self.turn_spent,
         }
     }
-    /// Takes over what another process believed. What that one had sent is for this one what others hold.
+    /// Takes over what another process believed. Its load is no part of that: a probe tells it better.
     fn believe(&mut self, belief: &Belief) {
         self.learned_slots = belief.slots.or(self.learned_slots);
         if belief.started == self.listed_start {
-            self.others = belief.reported.map(|_| belief.held);
-            (self.reported, self.turn_spent) = (belief.reported, belief.turn_spent);
+            self.turn_spent = belief.turn_spent;
             (self.fails, self.shunned_until) = belief.fails;
         }
     }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -174,7 +174,7 @@
 
     fn inherit(&mut self, beliefs: Beliefs) {
         if beliefs.learned.run.len() == self.learned.run.len() {
-            self.learned = beliefs.learned;
+            (self.learned.run, self.learned.costs) = (beliefs.learned.run, beliefs.learned.costs);
         }
         self.fleet.believe(beliefs.workers);
     }
--- a/crates/state/src/beliefs.rs
+++ b/crates/state/src/beliefs.rs
@@ -35,8 +35,6 @@
     name: String,
     started_us: Option<i64>,
     slots: Option<f64>,
-    held: f64,
-    reported_us: Option<i64>,
     fails: u32,
     shunned_until_us: i64,
     turn_spent: i64,
@@ -66,8 +64,6 @@
                 name: belief.worker.to_string(),
                 started_us: belief.started.map(|at| at.0),
                 slots: belief.slots,
-                held: belief.held,
-                reported_us: belief.reported.map(|at| at.0),
                 fails: belief.fails.0,
                 shunned_until_us: belief.fails.1 .0,
                 turn_spent: belief.turn_spent,
@@ -97,9 +93,8 @@
     let found: Vec<&Class> = classes.iter().map(of_class).collect::<Option<_>>()?;
     let sound = found.iter().all(|class| class.run_us > 0 && plain(class.cost_s)) && plain(text.fill);
     let sound = sound && (0.0..=1.0).contains(&text.pressure);
-    let held =
-        |worker: &Worker| plain(worker.held) && worker.slots.is_none_or(|slots| slots >= 1.0 && plain(slots));
-    if !sound || !text.workers.iter().all(held) {
+    let fits = |worker: &Worker| worker.slots.is_none_or(|slots| slots >= 1.0 && plain(slots));
+    if !sound || !text.workers.iter().all(fits) {
         return None;
     }
     let learned = Learned {
@@ -112,8 +107,6 @@
         worker: worker.name.into(),
         started: worker.started_us.map(Time),
         slots: worker.slots,
-        held: worker.held,
-        reported: worker.reported_us.map(Time),
         fails: (worker.fails, Time(worker.shunned_until_us)),
         turn_spent: worker.turn_spent,
     };
@@ -133,8 +126,6 @@
             worker: "w".into(),
             started: Some(Time(5)),
             slots: Some(4.0),
-            held: 2.5,
-            reported: Some(Time(7)),
             fails: (2, Time(9)),
             turn_spent: i64::MIN,
         };
@@ -151,7 +142,7 @@
         assert_eq!(turned.learned.run, [Span(2), Span(1)]);
         assert!(find(folder.path(), &["c".into()]).is_err());
         let mut odd = beliefs;
-        odd.workers[0].held = f64::NAN;
+        odd.workers[0].slots = Some(0.5);
         leave(folder.path(), &classes, &odd).expect("left");
         assert!(find(folder.path(), &classes).is_err());
     }
