Let bans hold on the Faktory front too, and test peers in pieces and silent ones

A ban reached the HTTP front's decisions alone: a consumer out by hand still fetched (hall.rs, offer). The hall turns away what is only offered to one that is out, and offers it nothing; what it holds it may still report. Attempts of that front count as written once they are fetched.

--- a/crates/faktory/src/hall.rs
+++ b/crates/faktory/src/hall.rs
@@ -3,7 +3,7 @@
 //! An offer is a call attempt that waits for its consumer's FETCH; a reservation is one that was fetched and
 //! waits for ACK or FAIL. Both end at most once: who takes one out of the hall decides how.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -59,6 +59,8 @@
 struct Inside {
     consumers: BTreeMap<Name, Consumer>,
     reservations: Vec<Reservation>,
+    /// Taken out by hand, there or not.
+    banned: BTreeSet<Name>,
     next: Ticket,
 }
 
@@ -91,7 +93,8 @@
         let mut inside = self.lock();
         inside.next += 1;
         let ticket = inside.next;
-        match inside.consumers.get_mut(wid).filter(|c| c.listed && !c.draining) {
+        let banned = inside.banned.contains(wid);
+        match inside.consumers.get_mut(wid).filter(|c| c.listed && !c.draining && !banned) {
             Some(c) if c.queues.contains(&job.queue) => {
                 c.offers.push(Offer { ticket, job, deadline, claimed });
                 self.news.notify_waiters();
@@ -102,6 +105,14 @@
         (ticket, claim)
     }
 
+    /// Takes consumers out by hand, and puts back whoever is not named. What they hold stays theirs.
+    pub fn ban(&self, banned: BTreeSet<Name>) {
+        let mut inside = self.lock();
+        let out = inside.consumers.iter_mut().filter(|(wid, _)| banned.contains(*wid));
+        out.for_each(|(_, consumer)| turn_away(consumer));
+        inside.banned = banned;
+    }
+
     /// Takes back an offer or a reservation, if it is still there.
     pub fn withdraw(&self, ticket: Ticket) {
         let mut inside = self.lock();
--- a/crates/faktory/src/lib.rs
+++ b/crates/faktory/src/lib.rs
@@ -13,7 +13,7 @@
 
 use serde::Deserialize;
 
-pub use server::Server;
+pub use server::{Operators, Server};
 
 use rookspoke_decisions::{Discovery, Reporting, Settings};
 
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -18,7 +18,7 @@
 use super::transport::{deadline, Call, Consumers};
 use super::{settings, FaktoryConfig};
 use rookspoke_decisions::{
-    ClassId, Effect, ListScope, Listing, Name, Outcome, Settings, SettingsError, Span,
+    Ban, ClassId, Effect, ListScope, Listing, Name, Outcome, Settings, SettingsError, Span,
 };
 use rookspoke_dispatch::{request_span, Answer, Ask, Clock, Core, Counters, Handle, Limits};
 use rookspoke_guard::{Door, Place, Room, Socket};
@@ -75,6 +75,23 @@
     close: watch::Sender<bool>,
 }
 
+/// What operators may ask of the work server.
+#[derive(Clone)]
+pub struct Operators(Arc<Shared>);
+
+impl Operators {
+    /// Whether a consumer of this name takes part, or is taken out by hand.
+    pub async fn knows(&self, wid: &str) -> bool {
+        self.0.handle.knows(wid).await
+    }
+
+    /// Says all that is taken out by hand; nothing new is handed out there once this has ended.
+    pub async fn ban(&self, bans: Arc<[Ban]>) {
+        self.0.hall.ban(bans.iter().map(|ban| ban.worker.clone()).collect());
+        self.0.handle.ban(bans).await;
+    }
+}
+
 /// Why a connection ended.
 type Closed = io::Result<()>;
 
@@ -102,6 +119,11 @@
         (Server { shared: Arc::new(shared), room, reconnect: config.reconnect(), close }, core)
     }
 
+    /// What operators may ask of it.
+    pub fn operators(&self) -> Operators {
+        Operators(self.shared.clone())
+    }
+
     /// The running totals.
     pub fn counters(&self) -> Arc<Counters> {
         self.shared.handle.counters().clone()
--- a/crates/faktory/src/transport.rs
+++ b/crates/faktory/src/transport.rs
@@ -69,6 +69,7 @@
                 // Nobody fetched it, so it never ran.
                 Ok(Err(_)) | Err(_) => return Outcome::TurnedAway.into(),
             };
+            handle.counters().written.add();
             handle.note(request, number, Note::Started).await;
             match timeout(reserve_for.min(clock.until(deadline)), outcome).await {
                 Ok(Ok(ended)) => ended,
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::heirloom::Heirloom;
 use crate::inherit::{self, InheritError};
 use crate::logging::{self, Logging};
-use crate::operators::{Bans, Operators};
+use crate::operators::{Bans, Fronts, Operators};
 use crate::serving::Serving;
 use crate::setup::{Setup, When};
 
@@ -58,6 +58,8 @@
     stop: watch::Sender<bool>,
     /// Once the HTTP front is up.
     serving: Option<Serving>,
+    /// What operators ask of the Faktory front, if it is on.
+    faktory: Option<faktory::Operators>,
     /// What operators use; it ends with the process.
     operators: JoinSet<()>,
     logging: Arc<Logging>,
@@ -123,11 +125,13 @@
         serving: Serving,
     ) -> Result<(), StartError> {
         let at = listener.local_addr().map_err(|e| StartError::Io("console", e))?;
-        let bans = config.state.as_ref().map(|folder| Arc::new(Bans::new(Store::new(folder))));
+        let store = config.state.as_ref().map(Store::new);
+        let fronts = Fronts { channel: serving.channel().clone(), faktory: self.faktory.clone() };
+        let bans = store.map(|store| Arc::new(Bans::new(store, fronts)));
         if let Some(bans) = &bans {
             // Before the first job and the first probe.
-            bans.look(serving.channel()).await;
-            self.operators.spawn(bans.clone().follow(serving.channel().clone()));
+            bans.look().await;
+            self.operators.spawn(bans.clone().follow());
         }
         let counters = self.counters.iter().map(|(_, counters)| counters.clone()).collect();
         self.operators.spawn(rookspoke_console::serve(listener, Operators { serving, counters, bans }));
@@ -153,6 +157,7 @@
         let (settings, times) = (&config.settings, config.class_time.clone());
         let (server, core) = faktory::Server::new(faktory, settings, times, config.seed, active);
         self.counters.push(("faktory", server.counters()));
+        self.faktory = Some(server.operators());
         self.cores.spawn(async move { tracing::error!("the faktory core ended: {:?}", core.await) });
         self.parts.spawn(server.serve(listener, self.stopped()));
         tracing::info!("{}: faktory listens at {at}", config.name);
@@ -238,6 +243,7 @@
         vrrp: None,
         stop: watch::Sender::new(false),
         serving: None,
+        faktory: None,
         operators: JoinSet::new(),
         logging: logging.clone(),
     };
--- a/crates/rookspoke/src/operators.rs
+++ b/crates/rookspoke/src/operators.rs
@@ -1,7 +1,6 @@
 //! What stands behind the console: the figures, and the log workers that are out by hand.
 
 use std::fmt::Write;
-use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -9,6 +8,7 @@
 use rookspoke_console::{Desk, No};
 use rookspoke_decisions::{Ban, Time};
 use rookspoke_dispatch::{Counter, Counters};
+use rookspoke_faktory as faktory;
 use rookspoke_state::bans::{BanError, Held, Stamp, Store};
 use tokio::sync::Mutex;
 use tokio::time::{interval, sleep, MissedTickBehavior};
@@ -20,21 +20,49 @@
 /// Pause before a file that another process is changing is asked for again.
 const BUSY: Duration = Duration::from_millis(5);
 
+/// Every front whose decisions hear of operators.
+#[derive(Clone)]
+pub struct Fronts {
+    pub channel: Channel,
+    pub faktory: Option<faktory::Operators>,
+}
+
+impl Fronts {
+    async fn knows(&self, worker: &str) -> bool {
+        match &self.faktory {
+            Some(faktory) if faktory.knows(worker).await => true,
+            _ => self.channel.knows(worker).await,
+        }
+    }
+
+    async fn tell(&self, held: &Held) {
+        let names: Vec<&str> = held.bans.keys().map(String::as_str).collect();
+        tracing::info!("out by hand: {}", if names.is_empty() { "none".into() } else { names.join(", ") });
+        let ban = |(name, since): (&String, &i64)| Ban { worker: name.as_str().into(), since: Time(*since) };
+        let bans: Arc<[Ban]> = held.bans.iter().map(ban).collect();
+        self.channel.ban(bans.clone()).await;
+        if let Some(faktory) = &self.faktory {
+            faktory.ban(bans).await;
+        }
+    }
+}
+
 /// Log workers out by hand: what the files say, and the decisions have been told.
 pub struct Bans {
     store: Store,
+    fronts: Fronts,
     /// What holds in this process. Files are read and written with this in hand, so that what was read first is
     /// told first.
     held: Mutex<(Held, Option<Stamp>)>,
 }
 
 impl Bans {
-    pub fn new(store: Store) -> Self {
-        Bans { store, held: Mutex::default() }
+    pub fn new(store: Store, fronts: Fronts) -> Self {
+        Bans { store, fronts, held: Mutex::default() }
     }
 
     /// Takes what the files say, if they say something new.
-    pub async fn look(&self, channel: &Channel) {
+    pub async fn look(&self) {
         let mut held = self.held.lock().await;
         let stamp = self.store.stamp();
         if held.1 == Some(stamp) {
@@ -47,7 +75,7 @@
                     tracing::error!("log workers out by hand: the other file tells them: {damage}");
                 }
                 if held.0 != new {
-                    tell(channel, &new).await;
+                    self.fronts.tell(&new).await;
                     held.0 = new;
                 }
             }
@@ -56,7 +84,7 @@
         }
     }
 
-    async fn change(&self, channel: &Channel, worker: &str, out: bool) -> Result<(), No> {
+    async fn change(&self, worker: &str, out: bool) -> Result<(), No> {
         let mut held = self.held.lock().await;
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = i64::try_from(now.as_micros()).unwrap_or(i64::MAX);
@@ -67,29 +95,22 @@
                 Err(error) => return Err(No::Failed(error.to_string())),
             }
         };
-        tell(channel, &new).await;
+        self.fronts.tell(&new).await;
         held.0 = new;
         Ok(())
     }
 
     /// Looks at the files for as long as it is polled.
-    pub async fn follow(self: Arc<Self>, channel: Channel) {
+    pub async fn follow(self: Arc<Self>) {
         let mut ticks = interval(LOOK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            self.look(&channel).await;
+            self.look().await;
         }
     }
 }
 
-async fn tell(channel: &Channel, held: &Held) {
-    let names: Vec<&str> = held.bans.keys().map(String::as_str).collect();
-    tracing::info!("out by hand: {}", if names.is_empty() { "none".into() } else { names.join(", ") });
-    let ban = |(name, since): (&String, &i64)| Ban { worker: name.as_str().into(), since: Time(*since) };
-    channel.ban(held.bans.iter().map(ban).collect()).await;
-}
-
 /// The desk behind the console.
 #[derive(Clone)]
 pub struct Operators {
@@ -136,21 +157,18 @@
         text
     }
 
-    fn set_out(&self, worker: &str, out: bool) -> impl Future<Output = Result<(), No>> + Send {
-        let channel = self.serving.channel();
-        async move {
-            let Some(bans) = &self.bans else {
-                return Err(No::Failed(
-                    "found no folder for `state`, expected one that outlives this process".into(),
-                ));
-            };
-            if !channel.knows(worker).await {
-                return Err(No::Unknown);
-            }
-            // Begun, it is done: a caller that leaves must not part the files from the decisions.
-            let (bans, channel, worker) = (bans.clone(), channel.clone(), worker.to_owned());
-            let done = tokio::spawn(async move { bans.change(&channel, &worker, out).await });
-            done.await.unwrap_or_else(|error| Err(No::Failed(error.to_string())))
+    async fn set_out(&self, worker: &str, out: bool) -> Result<(), No> {
+        let Some(bans) = &self.bans else {
+            return Err(No::Failed(
+                "found no folder for `state`, expected one that outlives this process".into(),
+            ));
+        };
+        if !bans.fronts.knows(worker).await {
+            return Err(No::Unknown);
         }
+        // Begun, it is done: a caller that leaves must not part the files from the decisions.
+        let (bans, worker) = (bans.clone(), worker.to_owned());
+        let done = tokio::spawn(async move { bans.change(&worker, out).await });
+        done.await.unwrap_or_else(|error| Err(No::Failed(error.to_string())))
     }
 }
--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -148,7 +148,7 @@
         &self.folder.0
     }
 
-    fn spawn((mut command, folder): (Command, Arc<Folder>)) -> Self {
+    pub fn spawn((mut command, folder): (Command, Arc<Folder>)) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the daemon starts");
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, stderr) = (log.clone(), child.stderr.take().expect("standard error"));
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -230,3 +230,27 @@
     assert!(consumer.say("BEAT {\"wid\":\"w-1\"}").starts_with("+OK"), "nobody makes a consumer leave");
     drop(silent);
 }
+
+/// Operators' bans hold on every front: what was only offered goes to another, what is held may be reported.
+#[test]
+fn a_consumer_out_by_hand_is_handed_nothing_until_it_is_put_back() {
+    let mut settings = config("127.0.0.1:9".parse().expect("an address"));
+    settings["console"] = "127.0.0.1:0".into();
+    let (mut command, folder) = Daemon::command(&settings, Some(ON));
+    command.env("TMPDIR", folder.path());
+    let daemon = Daemon::spawn((command, folder));
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000001");
+    let call = |to: &str| daemon.operator("PUT", &format!("log-workers/c-1/{to}")).status;
+    assert_eq!(call("offline"), 200);
+    assert_eq!(consumer.ack("job-00000001"), "+OK");
+    assert!(producer.push(&job("job-00000002", "qso-confirm")).starts_with("-ERR unavailable"));
+    assert_eq!(consumer.say("FETCH default"), "nil");
+    assert_eq!(call("online"), 200);
+    consumer.tell("FETCH default");
+    assert_eq!(producer.push(&job("job-00000003", "qso-confirm")), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000003");
+    assert_eq!((daemon.figure("passed.qso-confirm"), daemon.figure("upstream_tries")), (1, 2));
+}
--- a/crates/rookspoke/tests/platform.rs
+++ b/crates/rookspoke/tests/platform.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
 
@@ -330,3 +330,65 @@
     rookspoke: deploy/rookspoke.conf:3:14: found `0`, expected a whole number from 1 to 1048576
     "#);
 }
+
+/// Peers that write a byte at a time are understood, and one that falls silent in the middle holds up nobody else.
+#[test]
+fn peers_that_write_in_pieces_or_fall_silent_are_put_up_with() {
+    let pieces = |to: &mut std::net::TcpStream, text: &str| {
+        text.bytes().all(|byte| {
+            std::thread::sleep(std::time::Duration::from_micros(300));
+            to.write_all(&[byte]).is_ok()
+        })
+    };
+    let worker = Worker::start("w-1", move |request, to| {
+        let line = format!("{}\n", state(request, "started"));
+        let mut done = state(request, "done");
+        done["result"] = "fine".into();
+        let last = format!("{done}\n");
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunks = format!("{:x}\r\n{line}\r\n{:x}\r\n{last}\r\n0\r\n\r\n", line.len(), last.len());
+        // One job gets half an answer, and then nothing.
+        let silent = request.text() == "silent";
+        let text = if silent {
+            format!("{head}{:x}\r\n{}", line.len(), &line[..9])
+        } else {
+            head.to_owned() + &chunks
+        };
+        pieces(to, &text) && (!silent || to.read(&mut [0]).is_ok_and(|read| read > 0))
+    });
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let silent = send(http, &post("qso-confirm", "00000000000000f1", 1500, "silent"));
+    let whole = post("qso-confirm", "00000000000000f2", 5000, "in pieces");
+    let mut client = std::net::TcpStream::connect(http).expect("a connection");
+    assert!(pieces(&mut client, std::str::from_utf8(&whole).expect("text")));
+    assert_eq!(read_message(&mut BufReader::new(client)).expect("an answer").status, 200);
+    let answer = read_message(&mut BufReader::new(silent)).expect("an answer");
+    assert_eq!(answer.status, 500, "it may have run");
+    daemon.wait_counters("http", &["served=1", "failed=1", "written=2"]);
+}
+
+/// A watch that falls silent in the middle of a line is dead, whatever its connection says: the list is asked for anew.
+#[test]
+fn a_discovery_that_stops_in_a_line_is_asked_again() {
+    let worker = Worker::serving("w-1");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let daemon = Daemon::start(&config(listener.local_addr().expect("an address")), None);
+    let list = json!({"rev": 1, "all": true, "targets": [worker.entry("active")]}).to_string();
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
+    let mut watches = Vec::new();
+    for part in [chunk.len() / 2, chunk.len()] {
+        let (mut stream, _) = listener.accept().expect("a watch");
+        let request = read_message(&mut BufReader::new(stream.try_clone().expect("a clone")));
+        assert!(request.is_some_and(|request| request.first.contains("watch=1")));
+        for byte in format!("{head}{}", &chunk[..part]).bytes() {
+            stream.write_all(&[byte]).expect("sent");
+        }
+        // The first stays open, and says nothing more.
+        watches.push(stream);
+    }
+    daemon.wait_ready();
+    assert_eq!(ask(daemon.address("http"), &post("log-lookup", "00000000000000f3", 5000, "")).status, 200);
+    daemon.wait_counters("http", &["lists=1", "lists_failed=1"]);
+}
