--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::future::Future;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -29,7 +30,7 @@
 use resolver::{Order, Resolver, ResolverResult};
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
-    Ban, Beliefs, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
+    Ban, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -46,6 +47,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Connections to log workers, as a part of the descriptors: clients need more, and a few are spare.
 const WORKER_PART: f64 = 0.42;
+/// The same of what is shared with another process.
+const SHARED_WORKER_PART: f64 = 0.22;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Idle connections live for this part of the time that log workers leave them: short of it by seconds.
@@ -90,6 +93,7 @@
     /// For each class, whether its requests must never run twice.
     once: Arc<[bool]>,
     fleet: Fleet,
+    sockets: usize,
 }
 
 impl Channel {
@@ -112,6 +116,7 @@
             }),
             counters: handle.counters().clone(),
             room: Arc::new(Semaphore::new((sockets as f64 * WORKER_PART) as usize)),
+            spare: Default::default(),
             connect_timeout: millis(config.connect_timeout_ms),
             max_idle: millis(config.conn_idle_ms * IDLE_PART),
             severed: std::sync::Mutex::default(),
@@ -133,7 +138,10 @@
         let open_ids = OpenIds::default();
         let end = Arc::default();
         let once = config.settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
-        (Channel { handle, words, clock, ready, orders, open_ids, come_back, end, once, fleet }, core)
+        (
+            Channel { handle, words, clock, ready, orders, open_ids, come_back, end, once, fleet, sockets },
+            core,
+        )
     }
 
     /// Adds to a refusal when to come back.
@@ -165,14 +173,17 @@
         self.handle.ban(bans).await;
     }
 
-    /// What the decisions have learned; none if the core has ended.
-    pub async fn beliefs(&self) -> Option<Beliefs> {
-        self.handle.beliefs().await
-    }
-
-    /// Hands over what the process before this one had learned.
-    pub async fn inherit(&self, beliefs: Beliefs) {
-        self.handle.inherit(beliefs).await;
+    /// Shares its descriptors, less so many, with another process from now on; or with none. Connections that are
+    /// idle are closed, those in use go on.
+    pub fn share(&self, apart: Option<usize>) {
+        let of = |sockets: usize, part: f64| (sockets as f64 * part) as usize;
+        let all = of(self.sockets, WORKER_PART);
+        let usable =
+            apart.map_or(all, |apart| of(self.sockets.saturating_sub(apart), SHARED_WORKER_PART).max(8));
+        self.fleet.shared.spare.store(all.saturating_sub(usable), Ordering::Relaxed);
+        if apart.is_some() {
+            self.fleet.lock().values().for_each(Subchannel::close_idle);
+        }
     }
 
     /// Answers all that is taken from now on within this time.
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -61,6 +61,8 @@
     pub counters: Arc<Counters>,
     /// Every connection to a log worker holds a permit.
     pub room: Arc<Semaphore>,
+    /// Permits that are not to be used now.
+    pub spare: AtomicUsize,
     pub connect_timeout: Duration,
     /// Connections idle for this long are closed: long before their log worker does it.
     pub max_idle: Duration,
@@ -188,7 +190,8 @@
 
     async fn open(&self) -> Result<Connection, Failed> {
         let shared = &self.0.shared;
-        let room = shared.room.clone().try_acquire_owned().map_err(|_| {
+        let left = shared.room.available_permits() > shared.spare.load(Ordering::Relaxed);
+        let room = left.then(|| shared.room.clone().try_acquire_owned().ok()).flatten().ok_or_else(|| {
             tracing::warn!("no room for another connection to {}", self.0.name);
             Outcome::NotSent
         })?;
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -382,43 +382,6 @@
     pub skipped: usize,
 }
 
-/// What a dispatcher has learned and the list does not say, for the process that takes over from its own.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Beliefs {
-    /// What is so over all workers.
-    pub learned: Learned,
-    /// What is so of each worker.
-    pub workers: Vec<Belief>,
-}
-
-/// What a dispatcher has learned over all workers.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Learned {
-    /// Mean fill of workers over all reports, for those that never reported: those of other zones.
-    pub fill: f64,
-    /// The part of recent jobs that were turned away or refused as late.
-    pub pressure: f64,
-    /// Mean time in slots of each class's jobs.
-    pub run: Vec<Span>,
-    /// The same in seconds, learned at once from few jobs, and of how many: a guess that lasts overfills a cold worker.
-    pub costs: Vec<(f64, u32)>,
-}
-
-/// What a dispatcher believes of a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Belief {
-    /// The worker.
-    pub worker: Name,
-    /// The start that the list told of: a belief is of one process.
-    pub started: Option<Time>,
-    /// Its slots.
-    pub slots: Option<f64>,
-    /// Failed attempts in a row, and until when it gets nothing for them.
-    pub fails: (u32, Time),
-    /// The last turn spent while it was cold.
-    pub turn_spent: i64,
-}
-
 /// What a list update holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
@@ -542,8 +505,6 @@
     },
     /// All that operators have taken out by hand; whoever was among them and is no more is back.
     Bans(Arc<[Ban]>),
-    /// What the process before this one believed.
-    Beliefs(Beliefs),
     /// A request arrived; exactly one final answer is now owed.
     Request(Request),
     /// A streamed answer started; the request has no deadline any more.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -6,8 +6,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::api::{
-    Ban, Belief, Census, ClassId, Group, KindId, ListScope, Listing, LoadReport, Name, Readiness, Request,
-    RequestId, Rules, Settings, Span, TenantId, Time,
+    Ban, Census, ClassId, Group, KindId, ListScope, Listing, LoadReport, Name, Readiness, Request, RequestId,
+    Rules, Settings, Span, TenantId, Time,
 };
 
 /// A worker's number at one dispatcher; never reused.
@@ -238,24 +238,6 @@
     fn parts(&self) -> [(bool, Option<KindId>); 2] {
         [(self.local, None), (self.local, Some(self.kind.unwrap_or(KindId(usize::MAX))))]
     }
-    /// What is believed of it, for the process that takes over.
-    fn belief(&self) -> Belief {
-        Belief {
-            worker: self.name.clone(),
-            started: self.listed_start,
-            slots: self.learned_slots,
-            fails: (self.fails, self.shunned_until),
-            turn_spent: self.turn_spent,
-        }
-    }
-    /// Takes over what another process believed. Its load is no part of that: a probe tells it better.
-    fn believe(&mut self, belief: &Belief) {
-        self.learned_slots = belief.slots.or(self.learned_slots);
-        if belief.started == self.listed_start {
-            self.turn_spent = belief.turn_spent;
-            (self.fails, self.shunned_until) = belief.fails;
-        }
-    }
     /// Its process restarted: what was learned of the earlier one is void.
     fn restart(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.turn_spent, self.fails) = (started, i64::MIN, 0);
@@ -444,8 +426,6 @@
     next: Wid,
     /// What operators have taken out by hand, and since when.
     banned: BTreeMap<Name, Time>,
-    /// What another process believed of workers that are not listed yet.
-    beliefs: BTreeMap<Name, Belief>,
     pub ready: Vec<Wid>,
     /// Those of the own zone and the others; for any job, and for the jobs that need one kind.
     parts: BTreeMap<(bool, Option<KindId>), Parts>,
@@ -476,9 +456,7 @@
                 None => {
                     self.next += 1;
                     self.by_name.insert(entry.worker.clone(), self.next);
-                    let mut new = Worker::new(entry, s, now);
-                    self.beliefs.remove(&new.name).iter().for_each(|belief| new.believe(belief));
-                    self.by_id.insert(self.next, new);
+                    self.by_id.insert(self.next, Worker::new(entry, s, now));
                     self.next
                 }
             };
@@ -516,20 +494,6 @@
             self.refresh(id);
         }
     }
-    /// What is believed of all listed workers.
-    pub fn beliefs(&self) -> Vec<Belief> {
-        let ids = self.by_name.values().filter_map(|id| self.by_id.get(id));
-        ids.filter(|w| w.readiness != Readiness::Gone).map(Worker::belief).collect()
-    }
-    /// Takes over what another process believed, for workers that are listed and for those still to come.
-    pub fn believe(&mut self, beliefs: Vec<Belief>) {
-        for belief in beliefs {
-            match self.find(&belief.worker).and_then(|id| self.by_id.get_mut(&id)) {
-                Some(w) => w.believe(&belief),
-                None => drop(self.beliefs.insert(belief.worker.clone(), belief)),
-            }
-        }
-    }
     /// Whether a worker is listed, or taken out by hand.
     pub fn knows(&self, name: &str) -> bool {
         let listed =
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -67,7 +67,11 @@
     fleet: Fleet,
     book: Book,
     table: BTreeMap<KeyHash, Assigned>, // The paper's AssignedTable T.
-    learned: Learned,
+    fill: f64, // mean fill of workers over all reports, for those that never reported: those of other zones
+    pressure: f64, // The part of recent jobs that were turned away or refused as late.
+    run: Vec<Span>, // Mean time in slots of each class's jobs.
+    /// The same, learned at once from few jobs, and of how many: a guess that lasts overfills a cold worker.
+    costs: Vec<(f64, u32)>,
     /// Per kind: slot-seconds asked for by jobs that need it, and the part of it that others leave to them.
     asked: Vec<Faded>,
     reserved: Vec<f64>,
@@ -89,11 +93,10 @@
             fleet: Fleet::default(),
             book: Book::default(),
             table: BTreeMap::new(),
-            learned: Learned {
-                run: vec![FIRST_RUN; settings.classes.len()],
-                costs: vec![(FIRST_RUN.secs(), 0); settings.classes.len()],
-                ..Learned::default()
-            },
+            fill: 0.0,
+            pressure: 0.0,
+            run: vec![FIRST_RUN; settings.classes.len()],
+            costs: vec![(FIRST_RUN.secs(), 0); settings.classes.len()],
             asked: vec![Faded::default(); settings.kinds.len()],
             reserved: vec![0.0; settings.kinds.len()],
             reserved_version: 1,
@@ -115,7 +118,6 @@
         self.now = self.now.max(now);
         match event {
             Event::List { scope, entries } => self.on_list(scope, &entries),
-            Event::Beliefs(beliefs) => self.inherit(beliefs),
             Event::Bans(bans) => self.fleet.ban(&bans, self.now),
             Event::Request(request) => self.on_request(request, out),
             Event::StreamStarted { request, .. } => self.book.stream(request),
@@ -167,18 +169,6 @@
         self.fleet.census(self.now)
     }
 
-    /// What it has learned, for the process that takes over.
-    pub fn beliefs(&self) -> Beliefs {
-        Beliefs { learned: self.learned.clone(), workers: self.fleet.beliefs() }
-    }
-
-    fn inherit(&mut self, beliefs: Beliefs) {
-        if beliefs.learned.run.len() == self.learned.run.len() {
-            (self.learned.run, self.learned.costs) = (beliefs.learned.run, beliefs.learned.costs);
-        }
-        self.fleet.believe(beliefs.workers);
-    }
-
     /// Whether a worker is listed, or taken out by hand.
     pub fn knows(&self, worker: &str) -> bool {
         self.fleet.knows(worker)
@@ -242,7 +232,7 @@
         let key = r.key.as_ref();
         let key = key.map(|k| xxh3_64_with_seed(k.as_bytes(), kind.map_or(0, |k| k.0 as u64 + 1)));
         if let Some(kind) = kind {
-            self.asked[kind.0].add(self.now, KEY_MEMORY, self.learned.run[r.class.0].secs() * r.slots);
+            self.asked[kind.0].add(self.now, KEY_MEMORY, self.run[r.class.0].secs() * r.slots);
         }
         let id = r.id;
         self.book.open(Job::new(r, key, over_share, self.now));
@@ -271,7 +261,7 @@
         match to {
             // What would start too late is refused: served late it is worth nothing and keeps others late.
             Some(_) if late_worth == 0.0 && chance.is_some_and(|c| c > LATE) => {
-                self.learned.pressure += (1.0 - self.learned.pressure) * PRESSURE_GAIN;
+                self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
                 self.conclude(id, out)
             }
             Some(worker) if self.looks(worker, job.attempts.last().map_or(job.arrived, |a| a.sent)) => {
@@ -329,7 +319,7 @@
     /// When a job must have started to be in time, as far as can be told before it ran.
     fn latest_start(&self, job: &Job) -> Time {
         let class = &self.s.classes[job.class.0];
-        let work = job.work.unwrap_or(self.learned.run[job.class.0]).0 as f64;
+        let work = job.work.unwrap_or(self.run[job.class.0]).0 as f64;
         job.arrived + class.aim + Span((work * (class.stretch - 1.0).max(0.0) * STRETCH_PART) as i64)
     }
 
@@ -343,7 +333,7 @@
     }
 
     fn mean_run(&self) -> f64 {
-        self.learned.run.iter().map(|r| r.secs()).sum::<f64>() / self.learned.run.len() as f64
+        self.run.iter().map(|r| r.secs()).sum::<f64>() / self.run.len() as f64
     }
 
     fn slots(&self, w: &Worker) -> f64 {
@@ -354,8 +344,7 @@
     /// than a job is long, and would send keys back and forth after fluctuations that are over.
     fn occupied(&self, w: &Worker) -> f64 {
         let age = w.reported.map_or(0.0, |at| (self.now - at).secs());
-        w.own
-            + w.others.map_or(self.learned.fill * self.slots(w), |o| o.max(0.0) * (-age / TRUST.secs()).exp())
+        w.own + w.others.map_or(self.fill * self.slots(w), |o| o.max(0.0) * (-age / TRUST.secs()).exp())
     }
 
     /// The state of a worker towards a key of which each of its workers runs `part` slots.
@@ -423,7 +412,7 @@
     /// see the key as often as this one just did. Reports are older than a job is long, and where each of many sees
     /// a key once in a while, all would take the same worker for free until the next report.
     fn home(&self, t: &Assigned, job: &Job) -> usize {
-        let asked = self.sharers() * self.learned.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
+        let asked = self.sharers() * self.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
         let first = t.near.first().and_then(|id| self.fleet.get(*id)).map_or(PAPER_FULL, |w| self.slots(w));
         1 + (2.0 * asked / (T_BUSY * first).max(1.0)) as usize
     }
@@ -460,7 +449,7 @@
                 let new = of.iter().copied().filter(|id| !t.workers.contains(id) && fits(id) && takes(id));
                 self.least_loaded(new.take(SAMPLE))
             };
-            let (near, far) = (self.width(&t.near, self.learned.pressure), self.width(&t.far, HIGH_PRESSURE));
+            let (near, far) = (self.width(&t.near, self.pressure), self.width(&t.far, HIGH_PRESSURE));
             let near = (t.workers.len() + near).min(t.near.len());
             let mut of = t.near[..near].to_vec();
             of[..home.min(near)].rotate_left(from.min(near));
@@ -539,7 +528,7 @@
             return Some(i64::MIN);
         }
         let slots = w.learned_slots.unwrap_or(PAPER_FULL);
-        let cost = self.learned.costs.iter().map(|c| c.0).fold(1e-3, f64::max);
+        let cost = self.costs.iter().map(|c| c.0).fold(1e-3, f64::max);
         let full = COLD_PART * rules.fall_multiple * slots / cost;
         let jobs = full * (rules.cold_from * age + (1.0 - rules.cold_from) * age * age / (2.0 * ramp));
         let all = self.s.balancers as u64;
@@ -633,9 +622,9 @@
             }
         }
         if end.outcome == Outcome::Served {
-            let mean = &mut self.learned.run[class.0];
+            let mean = &mut self.run[class.0];
             mean.0 += ((took.0 - mean.0) as f64 * RUN_GAIN) as i64;
-            let (cost, seen) = &mut self.learned.costs[class.0];
+            let (cost, seen) = &mut self.costs[class.0];
             *seen = seen.saturating_add(1);
             *cost += (took.secs() - *cost) * RUN_GAIN.max(1.0 / (f64::from(*seen) + 1.0));
             if let Some(t) = key.and_then(|key| self.table.get_mut(&key)) {
@@ -666,7 +655,7 @@
         }
         if let Outcome::Served | Outcome::TurnedAway = outcome {
             let one = if outcome == Outcome::Served { 0.0 } else { 1.0 };
-            self.learned.pressure += (one - self.learned.pressure) * PRESSURE_GAIN;
+            self.pressure += (one - self.pressure) * PRESSURE_GAIN;
         }
     }
 
@@ -679,6 +668,6 @@
         let old = shared && w.reported.is_none_or(|at| now - at > OLD);
         w.blend_others(others, if old { 1.0 } else { REPORT_GAIN });
         w.reported = Some(now);
-        self.learned.fill += (held / w.learned_slots.unwrap_or(PAPER_FULL) - self.learned.fill) * FILL_GAIN;
+        self.fill += (held / w.learned_slots.unwrap_or(PAPER_FULL) - self.fill) * FILL_GAIN;
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 pub use task::{Core, Limits};
 
 use rookspoke_decisions::{
-    Ban, Beliefs, ClassId, ListScope, Listing, LoadReport, Name, Note, Outcome, RequestId, TenantId, Time,
+    Ban, ClassId, ListScope, Listing, LoadReport, Name, Note, Outcome, RequestId, TenantId, Time,
 };
 
 /// What a front asks for: the part of a request that the decisions need, and what its transport carries.
@@ -140,8 +140,6 @@
 enum Operator {
     Knows(Name, oneshot::Sender<bool>),
     Bans(Arc<[Ban]>, oneshot::Sender<()>),
-    Believes(oneshot::Sender<Beliefs>),
-    Inherit(Beliefs, oneshot::Sender<()>),
 }
 
 /// Calls of operators that wait, at most.
@@ -225,20 +223,6 @@
         let _ = heard.await;
     }
 
-    /// What the decisions have learned; none if the core has ended.
-    pub async fn beliefs(&self) -> Option<Beliefs> {
-        let (answer, answered) = oneshot::channel();
-        let _ = self.operators.send(Operator::Believes(answer)).await;
-        answered.await.ok()
-    }
-
-    /// Hands over what the process before this one had learned, and waits until it is taken.
-    pub async fn inherit(&self, beliefs: Beliefs) {
-        let (done, heard) = oneshot::channel();
-        let _ = self.operators.send(Operator::Inherit(beliefs, done)).await;
-        let _ = heard.await;
-    }
-
     /// The running totals.
     pub fn counters(&self) -> &Arc<Counters> {
         &self.counters
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -170,19 +170,13 @@
     fn hear(&mut self, call: Operator) {
         match call {
             Operator::Knows(worker, answer) => self.asked.push((worker, answer)),
-            Operator::Believes(answer) => {
-                let _ = answer.send(self.dispatcher.beliefs());
+            Operator::Bans(bans, heard) => {
+                self.events.push_back(Event::Bans(bans));
+                self.heard.push(heard);
             }
-            Operator::Bans(bans, heard) => self.pass_on(Event::Bans(bans), heard),
-            Operator::Inherit(beliefs, heard) => self.pass_on(Event::Beliefs(beliefs), heard),
         }
     }
 
-    fn pass_on(&mut self, event: Event, heard: oneshot::Sender<()>) {
-        self.events.push_back(event);
-        self.heard.push(heard);
-    }
-
     fn wake_at(&self) -> Time {
         let timer = self.timers.first().map(|t| t.0);
         let batch = if self.events.is_empty() { timer } else { Some(self.next_batch) };
--- a/crates/guard/src/room.rs
+++ b/crates/guard/src/room.rs
@@ -1,6 +1,7 @@
 //! Places for client connections, and who has to leave when they run out or a client stays silent.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -47,7 +48,7 @@
 }
 
 struct Shared {
-    capacity: usize,
+    capacity: AtomicUsize,
     patience: Patience,
     seats: Mutex<Seats>,
     freed: Notify,
@@ -69,7 +70,7 @@
 impl Room {
     /// A room of `capacity` places.
     pub fn new(capacity: usize, patience: Patience) -> Self {
-        let (seats, freed) = (Mutex::default(), Notify::new());
+        let (capacity, seats, freed) = (capacity.into(), Mutex::default(), Notify::new());
         Room(Arc::new(Shared { capacity, patience, seats, freed }))
     }
 
@@ -78,7 +79,7 @@
     /// whose request waits unread, and nobody who is owed an answer.
     pub fn enter(&self, unread: impl Fn() -> bool + Send + 'static) -> Option<Place> {
         let mut seats = self.0.lock();
-        if seats.taken.len() >= self.0.capacity {
+        if seats.taken.len() >= self.0.capacity.load(Ordering::Relaxed) {
             if seats.leaving == 0 {
                 seats.tell_one_to_leave();
             }
@@ -87,6 +88,15 @@
         Some(self.seat(&mut seats, Box::new(unread)))
     }
 
+    /// Has another number of places from now on. Whoever is beyond the last leaves as in [`Room::enter`].
+    pub fn resize(&self, capacity: usize) {
+        self.0.capacity.store(capacity, Ordering::Relaxed);
+        let mut seats = self.0.lock();
+        let beyond = (seats.taken.len() - seats.leaving).saturating_sub(capacity);
+        (0..beyond).for_each(|_| seats.tell_one_to_leave());
+        self.0.freed.notify_one();
+    }
+
     /// Takes a place even beyond the last: for the few that wait when no others can come any more.
     pub fn squeeze_in(&self, unread: impl Fn() -> bool + Send + 'static) -> Place {
         self.seat(&mut self.0.lock(), Box::new(unread))
@@ -202,6 +212,11 @@
         }
     }
 
+    /// Whether its first request has not come yet, or not whole.
+    pub fn is_new(&self) -> bool {
+        self.0.room.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.stage == Stage::New)
+    }
+
     /// A whole request has come: an answer is owed.
     pub fn owes(&self) {
         self.set(Stage::Owed);
--- a/crates/lab/src/policy/simple.rs
+++ b/crates/lab/src/policy/simple.rs
@@ -275,7 +275,7 @@
     fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             // An emulated fleet has no operators.
-            Event::Bans(_) | Event::Beliefs(_) => {}
+            Event::Bans(_) => {}
             Event::List { scope, entries } => self.on_list(now, scope, &entries),
             Event::Request(request) => {
                 let id = request.id;
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -20,15 +20,12 @@
 use crate::cli::{self, Given};
 use crate::control::{Control, ControlError, Status};
 use crate::front::Front;
-use crate::heirloom::Heirloom;
 use crate::inherit::{self, InheritError};
 use crate::logging::{self, Logging};
 use crate::operators::{Bans, Fronts, Operators};
 use crate::serving::Serving;
 use crate::setup::{Setup, When};
-
-/// Client connections, as a part of the descriptors.
-const CLIENT_PART: f64 = 0.5;
+use crate::share::{self, Share};
 
 /// Why the daemon could not start.
 #[derive(Debug, Error)]
@@ -104,14 +101,14 @@
         if let Some(console) = console {
             self.start_console(config, console, serving.clone()).await?;
         }
+        let front = Front::new(serving.clone(), share::clients(config.limits.sockets));
         // A listener that is handed on goes from one process to the next under load.
         if let (Some(_), Some(folder)) = (config.accept_fd, &config.state) {
-            let classes = config.settings.classes.iter().map(|class| class.name.clone()).collect();
-            let heirloom = Heirloom { folder: folder.clone(), classes };
-            heirloom.take(serving.channel()).await;
-            self.operators.spawn(heirloom.keep(serving.clone()));
+            if let Some(mut share) = Share::take(folder, front.room().clone(), config.limits.sockets) {
+                share.look(&serving);
+                self.operators.spawn(share.keep(serving.clone()));
+            }
         }
-        let front = Front::new(serving, (config.limits.sockets as f64 * CLIENT_PART) as usize);
         self.parts.spawn(front.serve(listener, config.accept_fd.is_some(), self.stopped()));
         tracing::info!("{}: http listens at {at}", config.name);
         Ok(())
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -21,6 +21,7 @@
 
 use crate::serving::Serving;
 
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const READY: &str = "/health/ready";
 /// Clients that say nothing are told so within 3 s of connecting: this leaves a second for a late turn.
 const PATIENCE: Patience = Patience {
@@ -53,6 +54,11 @@
         Front { serving, room: Room::new(connections, PATIENCE) }
     }
 
+    /// Its places.
+    pub fn room(&self) -> &Room {
+        &self.room
+    }
+
     /// Serves until `stop` ends; then goes on for a while, and ends when all that it took is answered. A shared
     /// listener has another process behind it: what this one does not accept is not lost, so it accepts nothing
     /// before it is of use, and nothing after it was told to end.
@@ -116,10 +122,14 @@
         let unread = socket.unread();
         let framed = Framed::new(socket, place.clone(), answers.clone());
         connections.spawn(async move {
+            let ends = closing.clone();
             let service = service_fn(move |request| {
-                let (serving, answers) = (serving.clone(), answers.clone());
+                let (serving, answers, ends) = (serving.clone(), answers.clone(), ends.clone());
                 async move {
-                    let response = route(serving, request).await;
+                    let mut response = route(serving, request).await;
+                    if let (Ok(response), true) = (&mut response, *ends.borrow()) {
+                        response.headers_mut().insert(header::CONNECTION, CLOSE);
+                    }
                     answers.fetch_add(1, Ordering::AcqRel);
                     response
                 }
@@ -144,11 +154,15 @@
                         return;
                     }
                     () = async { drop(closing.wait_for(|closing| *closing).await) }, if !told_to_end => {
-                        // A shut-down library reads nothing more, not even what is here already.
+                        told_to_end = true;
+                        // A shut-down library reads nothing more, not even what is here already, and closes on
+                        // one that has yet to ask for the first time: that one may, and its answer is the last.
+                        if place.is_new() {
+                            continue;
+                        }
                         if unread() {
                             let _ = tokio::time::timeout(LAST_LOOK, connection.as_mut()).await;
                         }
-                        told_to_end = true;
                         connection.as_mut().graceful_shutdown();
                     }
                 }
@@ -167,7 +181,7 @@
     let Ok(mut response) = serving.channel().clone().call(request).await;
     // Its body was not read: where the next request begins, nobody knows.
     if let StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT = response.status() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        response.headers_mut().insert(header::CONNECTION, CLOSE);
     }
     Ok(response)
 }
--- a/crates/rookspoke/src/main.rs
+++ b/crates/rookspoke/src/main.rs
@@ -4,13 +4,13 @@
 mod control;
 mod daemon;
 mod front;
-mod heirloom;
 mod inherit;
 mod logging;
 mod operators;
 mod repeats;
 mod serving;
 mod setup;
+mod share;
 
 use std::io::Write;
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/crates/rookspoke/src/share.rs
@@ -0,0 +1,68 @@
+//! Descriptors, while two versions of a dispatcher live on those of one.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rookspoke_guard::Room;
+use rookspoke_state::tenancy::Tenancy;
+use tokio::time::{interval, MissedTickBehavior};
+
+use crate::serving::Serving;
+
+/// How often the other process is looked for.
+const LOOK: Duration = Duration::from_millis(100);
+/// Client connections, as a part of the descriptors.
+const CLIENT_PART: f64 = 0.5;
+/// The same while another process lives; the channel keeps to as little of its own part.
+const SHARED_CLIENT_PART: f64 = 0.27;
+/// What two processes need besides connections: their listeners, consoles, files, the runtime.
+const APART: usize = 80;
+
+/// How many clients a process alone has room for.
+pub fn clients(sockets: usize) -> usize {
+    (sockets as f64 * CLIENT_PART) as usize
+}
+
+fn shared_clients(sockets: usize) -> usize {
+    // However few there are, some clients must get in.
+    ((sockets.saturating_sub(APART)) as f64 * SHARED_CLIENT_PART).max(8.0) as usize
+}
+
+/// Keeps to half of the descriptors for as long as another process lives.
+pub struct Share {
+    tenancy: Tenancy,
+    room: Room,
+    sockets: usize,
+    shared: bool,
+}
+
+impl Share {
+    /// Takes a place in the folder; none if that cannot be had, which costs nothing but this care.
+    pub fn take(folder: &Path, room: Room, sockets: usize) -> Option<Self> {
+        let tenancy = Tenancy::take(folder).inspect_err(|error| {
+            tracing::warn!("another process would not be seen: {}: {error}", folder.display());
+        });
+        tenancy.ok().map(|tenancy| Share { tenancy, room, sockets, shared: false })
+    }
+
+    /// Looks for the other process once.
+    pub fn look(&mut self, serving: &Serving) {
+        let shared = self.tenancy.is_shared().unwrap_or(self.shared);
+        if shared != self.shared {
+            self.shared = shared;
+            tracing::info!("{}", if shared { "another process lives" } else { "this process is alone" });
+            self.room.resize(if shared { shared_clients(self.sockets) } else { clients(self.sockets) });
+            serving.channel().share(shared.then_some(APART));
+        }
+    }
+
+    /// Looks for as long as it is polled.
+    pub async fn keep(mut self, serving: Serving) {
+        let mut ticks = interval(LOOK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.look(&serving);
+        }
+    }
+}
--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -197,6 +197,11 @@
         ask(self.address("console"), text.as_bytes())
     }
 
+    /// Open descriptors of the process.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// One of the figures that operators get.
     pub fn figure(&self, name: &str) -> u64 {
         let text = self.operator("GET", "counters").text();
