--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -278,10 +278,6 @@
     /// Learns its slots from a report; returns the slots in use, with the queue. Behind a report
     /// of no free slots that tells of no queue, one of `hidden` parts of the slots is taken for likely.
     pub fn learn(&mut self, load: LoadReport, hidden: f64, unknown: f64) -> Option<f64> {
-        // No slot free and no core in use: a process that has just started has not filled in its report.
-        if (load.free_slots, load.util) == (Some(0.0), Some(0.0)) {
-            return None;
-        }
         if let Some(free) = load.free_slots {
             let held = load.inflight.filter(|_| free >= 1.0).unwrap_or(0.0);
             self.learned_slots = Some(self.learned_slots.unwrap_or(1.0).max((free + held).round()));
--- a/crates/rookspoke/tests/operators.rs
+++ b/crates/rookspoke/tests/operators.rs
@@ -404,3 +404,21 @@
     let same = |settings: &mut Value| settings["listen"] = address.clone().into();
     fails_to_start(&[("PROXY_CONSOLE", &address)], same, "the address of `listen`");
 }
+
+/// What the standing trial wants of `run`: one process, linked against the C library at its start, and no other beside.
+#[test]
+fn the_program_is_one_dynamically_linked_process() {
+    let worker = Worker::serving("w-1");
+    let (place, _discovery) = place(&[&worker]);
+    let daemon = place.ready();
+    assert_eq!(ask(place.clients(), &job("log-lookup", 1)).status, 200);
+    let of = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", daemon.pid())).expect(name);
+    assert!(of("maps").contains("/libc.so"), "linked at its start against the C library");
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", daemon.pid())).expect("its threads");
+    for task in tasks.map(|task| task.expect("a thread").path()) {
+        // A system that keeps no such list cannot tell; this one does.
+        let children = std::fs::read_to_string(task.join("children")).expect("a list of children");
+        assert_eq!(children.trim(), "", "a process beside it");
+    }
+    assert!(of("cmdline").starts_with(env!("CARGO_BIN_EXE_rookspoke")), "exec, and no shell around it");
+}
