--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -36,7 +36,7 @@
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
 };
 use rookspoke_wire::Vocabulary;
-use subchannel::{Call, Shared, Subchannel};
+use subchannel::{lock, Call, Shared, Subchannel};
 
 /// The most that a body holds, on any side.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -342,12 +342,12 @@
 
 impl Fleet {
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, Subchannel>> {
-        self.subchannels.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.subchannels)
     }
 
     fn ban(&self, bans: &[Ban]) {
         let new: BTreeSet<Name> = bans.iter().map(|ban| ban.worker.clone()).collect();
-        let mut banned = self.banned.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut banned = lock(&self.banned);
         self.lock().iter().for_each(|(name, subchannel)| subchannel.set_banned(new.contains(name)));
         *banned = new;
     }
@@ -359,7 +359,7 @@
     /// Takes a list or its changes. What is gone or draining is shut for new work from this moment on,
     /// before the decisions hear of it.
     fn apply(&self, scope: ListScope, update: &Update) {
-        let banned = self.banned.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let banned = lock(&self.banned);
         let mut subchannels = self.lock();
         if scope != ListScope::Changes {
             let named: BTreeSet<&str> = update.targets.iter().map(|t| t.uid.as_str()).collect();
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -418,7 +418,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     // Nothing that holds these locks can leave half a change behind.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -78,7 +78,7 @@
 #[derive(Debug, Default)]
 pub struct ClassCounters {
     /// The class.
-    pub name: Option<Name>,
+    pub name: Name,
     /// Served.
     pub served: Counter,
     /// Refused, taken or not.
@@ -109,7 +109,7 @@
 impl Counters {
     /// Counters for these classes, all at 0.
     pub fn of<'a>(classes: impl Iterator<Item = &'a Name>) -> Self {
-        let class = |name: &Name| ClassCounters { name: Some(name.clone()), ..ClassCounters::default() };
+        let class = |name: &Name| ClassCounters { name: name.clone(), ..ClassCounters::default() };
         Counters { classes: classes.map(class).collect(), ..Counters::default() }
     }
 
@@ -123,6 +123,14 @@
         }
     }
 
+    /// One more request that is refused before it is taken, for want of room: it never ran.
+    pub(crate) fn overloaded<R>(&self, class: ClassId) -> Answer<R> {
+        self.overload.add();
+        let answer = Answer::Refused { retry_after: None };
+        self.answered(class, &answer);
+        answer
+    }
+
     fn sum(&self, of: impl Fn(&ClassCounters) -> &Counter) -> u64 {
         self.classes.iter().map(|class| of(class).get()).sum()
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -185,10 +185,7 @@
         let rooms = (self.queue.clone().try_reserve_owned(), self.queue.clone().try_reserve_owned());
         // The queue is full: nothing was taken and nothing ran, so this may be refused.
         let (Ok(room), Ok(gone)) = rooms else {
-            self.counters.overload.add();
-            let answer = Answer::Refused { retry_after: None };
-            self.counters.answered(ask.class, &answer);
-            return answer;
+            return self.counters.overloaded(ask.class);
         };
         room.send(Input::Ask(id, ask, answer));
         let mut guard = GoneGuard(Some((id, gone)));
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -191,10 +191,7 @@
             Input::Ask(id, ask, answer) => {
                 if self.ledger.open_requests() >= self.limits.open_requests {
                     // Never seen by the decisions, so it never ran.
-                    self.counters.overload.add();
-                    let refused = Answer::Refused { retry_after: None };
-                    self.counters.answered(ask.class, &refused);
-                    let _ = answer.send(refused);
+                    let _ = answer.send(self.counters.overloaded(ask.class));
                     return;
                 }
                 self.counters.taken.add();
--- a/crates/rookspoke/src/operators.rs
+++ b/crates/rookspoke/src/operators.rs
@@ -11,12 +11,11 @@
 use rookspoke_faktory as faktory;
 use rookspoke_state::bans::{BanError, Held, Stamp, Store};
 use tokio::sync::Mutex;
-use tokio::time::{interval, sleep, MissedTickBehavior};
+use tokio::time::sleep;
 
 use crate::serving::Serving;
+use crate::share::looks;
 
-/// How often the folder is looked at for what another process of this dispatcher has changed.
-const LOOK: Duration = Duration::from_millis(100);
 /// Pause before a file that another process is changing is asked for again.
 const BUSY: Duration = Duration::from_millis(5);
 
@@ -102,10 +101,9 @@
 
     /// Looks at the files for as long as it is polled.
     pub async fn follow(self: Arc<Self>) {
-        let mut ticks = interval(LOOK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut looks = looks();
         loop {
-            ticks.tick().await;
+            looks.tick().await;
             self.look().await;
         }
     }
@@ -130,7 +128,7 @@
         for (at, class) in first.classes.iter().enumerate() {
             let total: u64 =
                 self.counters.iter().filter_map(|c| c.classes.get(at)).map(|c| of(c).get()).sum();
-            let _ = writeln!(text, "proxy.{name}.{}:{total}|c", class.name.as_deref().unwrap_or_default());
+            let _ = writeln!(text, "proxy.{name}.{}:{total}|c", class.name);
         }
     }
 }
--- a/crates/rookspoke/src/share.rs
+++ b/crates/rookspoke/src/share.rs
@@ -5,11 +5,11 @@
 
 use rookspoke_guard::Room;
 use rookspoke_state::tenancy::Tenancy;
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, Interval, MissedTickBehavior};
 
 use crate::serving::Serving;
 
-/// How often the other process is looked for.
+/// How often the folder is looked at for another process of this dispatcher and what it has changed.
 const LOOK: Duration = Duration::from_millis(100);
 /// Client connections, as a part of the descriptors.
 const CLIENT_PART: f64 = 0.5;
@@ -18,6 +18,13 @@
 /// What two processes need besides connections: their listeners, consoles, files, the runtime.
 const APART: usize = 80;
 
+/// When the folder is looked at.
+pub fn looks() -> Interval {
+    let mut looks = interval(LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    looks
+}
+
 /// How many clients a process alone has room for.
 pub fn clients(sockets: usize) -> usize {
     (sockets as f64 * CLIENT_PART) as usize
@@ -58,10 +65,9 @@
 
     /// Looks for as long as it is polled.
     pub async fn keep(mut self, serving: Serving) {
-        let mut ticks = interval(LOOK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut looks = looks();
         loop {
-            ticks.tick().await;
+            looks.tick().await;
             self.look(&serving);
         }
     }
--- a/crates/rookspoke/tests/operators.rs
+++ b/crates/rookspoke/tests/operators.rs
@@ -20,6 +20,18 @@
     (Place::new(config(discovery.address)), discovery)
 }
 
+/// A log worker that serves each job when told to, and all once nobody can tell it any more.
+fn held(uid: &str) -> (Worker, mpsc::Sender<()>) {
+    let (go, wait) = mpsc::channel::<()>();
+    let wait = Mutex::new(wait);
+    let worker = Worker::start(uid, move |request, to| {
+        let _ = wait.lock().expect("its turn").recv();
+        serve(request, to, "fine");
+        true
+    });
+    (worker, go)
+}
+
 fn job(class: &str, number: u32) -> Vec<u8> {
     post(class, &format!("{number:016x}"), 5000, "")
 }
@@ -122,13 +134,7 @@
         (names.map(|name| daemon.figure(name)) == [tries, 0, 3]).then_some(())
     });
     // A log worker that answers nothing yet: a job in progress, and one whose client leaves.
-    let (go, wait) = mpsc::channel::<()>();
-    let wait = Mutex::new(wait);
-    let slow = Worker::start("w-4", move |request, to| {
-        let _ = wait.lock().expect("its turn").recv();
-        serve(request, to, "fine");
-        true
-    });
+    let (slow, go) = held("w-4");
     let (place, _discovery) = self::place(&[&slow]);
     let daemon = place.ready();
     let (stays, leaves) =
@@ -350,13 +356,7 @@
 /// What was asked of the old process is answered by it, though it has been told to end.
 #[test]
 fn what_the_old_process_took_it_answers() {
-    let (go, wait) = mpsc::channel::<()>();
-    let wait = Mutex::new(wait);
-    let worker = Worker::start("w-1", move |request, to| {
-        let _ = wait.lock().expect("its turn").recv();
-        serve(request, to, "fine");
-        true
-    });
+    let (worker, go) = held("w-1");
     let (place, _discovery) = place(&[&worker]);
     let mut old = place.ready();
     let taken = send(place.clients(), &job("qso-confirm", 1));
--- a/crates/state/src/bans.rs
+++ b/crates/state/src/bans.rs
@@ -5,9 +5,9 @@
 //! valid one of the higher number holds. A lock makes one change of what is read, changed and written.
 
 use std::collections::BTreeMap;
-use std::fs::{File, OpenOptions, TryLockError};
+use std::fs::File;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use thiserror::Error;
 
@@ -131,21 +131,10 @@
         })
     }
 
-    /// Where it is.
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
-
     fn lock(&self) -> Result<File, BanError> {
         let path = self.folder.join(LOCK);
-        let lock = OpenOptions::new().write(true).create(true).truncate(false).open(&path);
-        let lock = lock.map_err(|error| BanError::Io(path.clone(), error))?;
-        // A lock goes with its process, however that ends.
-        match lock.try_lock() {
-            Ok(()) => Ok(lock),
-            Err(TryLockError::WouldBlock) => Err(BanError::Busy(path)),
-            Err(TryLockError::Error(error)) => Err(BanError::Io(path, error)),
-        }
+        let lock = file::lock(&path).map_err(|error| BanError::Io(path.clone(), error))?;
+        lock.ok_or(BanError::Busy(path))
     }
 }
 
--- a/crates/state/src/file.rs
+++ b/crates/state/src/file.rs
@@ -1,7 +1,7 @@
 //! One file: a first line `KIND VERSION CHECKSUM`, then its text.
 
 use std::fmt;
-use std::fs::{self, File};
+use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
@@ -64,6 +64,17 @@
     }
 }
 
+/// Locks a file that is there for nothing else; none if another process has. A lock goes with its process, however
+/// that ends.
+pub fn lock(path: &Path) -> io::Result<Option<File>> {
+    let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(file)),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(error)) => Err(error),
+    }
+}
+
 /// Where a file is written before it is put in place; two processes may be at it at once.
 pub fn draft(path: &Path) -> PathBuf {
     let mut name = path.as_os_str().to_owned();
--- a/crates/state/src/tenancy.rs
+++ b/crates/state/src/tenancy.rs
@@ -1,10 +1,12 @@
 //! Whether another process of the same dispatcher lives: each holds the lock on one of two files in the folder, which
 //! goes with the process however that ends.
 
-use std::fs::{File, OpenOptions, TryLockError};
+use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
 
+use super::file::lock;
+
 const NAMES: [&str; 2] = ["rookspoke.tenant.0", "rookspoke.tenant.1"];
 
 /// This process's place in the folder.
@@ -38,16 +40,6 @@
     }
 }
 
-/// Locks a file; none if another process has.
-fn lock(path: &Path) -> io::Result<Option<File>> {
-    let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
-    match file.try_lock() {
-        Ok(()) => Ok(Some(file)),
-        Err(TryLockError::WouldBlock) => Ok(None),
-        Err(TryLockError::Error(error)) => Err(error),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
