Keep confirmations from log workers that fail part of their jobs

Change: errors and served jobs fade over 10 s, own ones and what load reports tell; a job that must not run twice goes to none over a fifth as long as another takes it; pauses grow with the errors counted. Jobs that may run twice try it still.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -427,6 +427,8 @@
     pub util: Option<f64>,
     /// Errors a second.
     pub errors_per_s: Option<f64>,
+    /// Requests served a second.
+    pub served_per_s: Option<f64>,
     /// Free slots.
     pub free_slots: Option<f64>,
     /// Free memory units.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -197,6 +197,9 @@
     keys: Vec<(KeyHash, Faded)>,
     pub full_until: Time,
     pub fails: u32,
+    /// Jobs that ended in its own error, and that it served, fading: own ones, and what its reports tell.
+    errors: Faded,
+    served: Faded,
     pub shunned_until: Time,
     pub probe_out: bool,
     /// The last of this dispatcher's turns that was spent while the worker was cold.
@@ -229,6 +232,8 @@
             keys: Vec::new(),
             full_until: now,
             fails: 0,
+            errors: Faded::default(),
+            served: Faded::default(),
             shunned_until: now,
             probe_out: false,
             turn_spent: i64::MIN,
@@ -242,6 +247,7 @@
     fn restart(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.turn_spent, self.fails) = (started, i64::MIN, 0);
         (self.reported, self.others, self.full_until, self.shunned_until) = (None, None, now, now);
+        (self.errors, self.served) = (Faded::default(), Faded::default());
         self.keys.clear();
     }
     /// Who shares what it remembers of a keyed request.
@@ -289,6 +295,16 @@
         self.free_memory = load.free_memory;
         load.inflight.or(running.map(|r| r + queue)).or(load.queue)
     }
+    /// Counts jobs that ended there in its own error, and that it served.
+    pub fn count_ends(&mut self, now: Time, over: Span, errors: f64, served: f64) {
+        self.errors.add(now, over, errors);
+        self.served.add(now, over, served);
+    }
+    /// Its recent errors, and the part that they are of its jobs if it served one more.
+    pub fn errors(&self, now: Time, over: Span) -> (f64, f64) {
+        let [errors, served] = [self.errors, self.served].map(|mut sum| sum.add(now, over, 0.0));
+        (errors, errors / (errors + served + 1.0))
+    }
     pub fn waits(&self, now: Time, least: Span) -> bool {
         self.waiting.first().is_some_and(|at| now - *at > least)
     }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -49,6 +49,8 @@
 const FULL_FOR: Span = Span(200_000); // a worker that turned a job away counts as Full: about a job's length
 const SHUN: Span = Span(500_000); // first pause for a worker whose attempt failed, doubled each time in a row
 const SHUN_DOUBLINGS: u32 = 4; // at most
+const ERROR_MEMORY: Span = Span(10_000_000); // errors fade over this: one job served is no proof of health
+const RISK: f64 = 0.2; // a worker that fails more than this part is none for jobs that must not run twice
 const TENANT_DEPTH_S: f64 = 3.0; // seconds of its share that a tenant may save up
 const TENANT_SLACK: f64 = 1.15; // clients spread unevenly: one dispatcher may carry this much of its part
 const COLD_PART: f64 = 0.35; // of the cold budget is planned: a span can hold twice that, the rest is margin
@@ -433,8 +435,10 @@
         let (mut t, part) = self.entry(key, kind);
         let home = if self.shared() { self.home(&t, job).min(t.near.len()) } else { 1 };
         let drawn = if self.shared() { self.rng.random::<u32>() as usize } else { 0 };
-        let from = drawn % home.max(1);
-        let healthy = |w: &Worker| self.now >= w.shunned_until && w.holds(job);
+        let risky = |w: &Worker| w.errors(self.now, ERROR_MEMORY).1 > RISK;
+        let once = self.s.classes[job.class.0].effect == Effect::Unsafe;
+        let careful = once && !self.fleet.ready.iter().filter_map(|id| self.fleet.get(*id)).all(risky);
+        let healthy = |w: &Worker| self.now >= w.shunned_until && w.holds(job) && !(careful && risky(w));
         let fits =
             |id: &Wid| !job.tried(*id) && self.fleet.get(*id).is_some_and(healthy) && self.may_send(job, *id);
         // The key's demand over all dispatchers counts: a sliver alone would never fill a worker.
@@ -452,7 +456,7 @@
             let (near, far) = (self.width(&t.near, self.pressure), self.width(&t.far, HIGH_PRESSURE));
             let near = (t.workers.len() + near).min(t.near.len());
             let mut of = t.near[..near].to_vec();
-            of[..home.min(near)].rotate_left(from.min(near));
+            of[..home.min(near)].rotate_left((drawn % home.max(1)).min(near));
             best = scan(&of).or_else(|| scan(&t.far[..far]));
             t.workers.extend(best);
         }
@@ -644,24 +648,29 @@
     fn judge(&mut self, worker: Wid, outcome: Outcome) {
         let now = self.now;
         let Some(w) = self.fleet.get_mut(worker) else { return };
+        let ends = |of| f64::from(u8::from(outcome == of));
+        w.count_ends(now, ERROR_MEMORY, ends(Outcome::Error), ends(Outcome::Served));
         match outcome {
             Outcome::Served => w.fails = 0,
             Outcome::TurnedAway => w.full_until = now + FULL_FOR,
             Outcome::Cancelled | Outcome::NotSent | Outcome::Severed | Outcome::Unusable => return,
             _ => {
-                w.shunned_until = now + Span(SHUN.0 << w.fails.min(SHUN_DOUBLINGS));
+                let again = f64::from(w.fails).max(w.errors(now, ERROR_MEMORY).0 - 1.0).round() as u32;
+                w.shunned_until = now + Span(SHUN.0 << again.min(SHUN_DOUBLINGS));
                 w.fails += 1;
             }
         }
         if let Outcome::Served | Outcome::TurnedAway = outcome {
-            let one = if outcome == Outcome::Served { 0.0 } else { 1.0 };
-            self.pressure += (one - self.pressure) * PRESSURE_GAIN;
+            self.pressure += (ends(Outcome::TurnedAway) - self.pressure) * PRESSURE_GAIN;
         }
     }
 
     fn on_report(&mut self, worker: Option<Wid>, load: Option<LoadReport>) {
         let (now, shared) = (self.now, self.shared());
         let (Some(w), Some(load)) = (worker.and_then(|id| self.fleet.get_mut(id)), load) else { return };
+        let since = w.reported.map_or(OWN_SMOOTH, |at| (now - at).min(OWN_SMOOTH)).secs();
+        let [errors, served] = [load.errors_per_s, load.served_per_s].map(|rate| rate.unwrap_or(0.0) * since);
+        w.count_ends(now, ERROR_MEMORY, errors, served);
         let Some(held) = w.learn(load, HIDDEN_QUEUE, PAPER_FULL) else { return };
         let others = held - w.smooth_own(now, OWN_SMOOTH);
         // What is left of old news is no mean, but a wrong figure.
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -114,6 +114,48 @@
     assert_ne!(sent_to(&host.ask(2, 0, Some("k"))), Some(first), "fast errors look idle");
 }
 
+/// A dispatcher of a safe class and an unsafe one, and the worker to which key "k" goes first.
+fn with_a_failing_worker() -> (Host, String) {
+    let mut host = Host::new(settings(&[Effect::Safe, Effect::Unsafe]), 4);
+    let first = sent_to(&host.ask(1, 0, Some("k"))).expect("sent");
+    (host, first)
+}
+
+/// One that ends most jobs at once has room at all times: what it may have run is lost, however long the pause.
+#[test]
+fn jobs_that_must_not_run_twice_keep_from_a_worker_that_failed_until_it_serves_others() {
+    let (mut host, failing) = with_a_failing_worker();
+    host.tell(ended(1, 0, Outcome::Error, true, None));
+    host.ms += 3_000.0;
+    assert_ne!(sent_to(&host.ask(2, 1, Some("k"))), Some(failing.clone()));
+    let tried = sent_to(&host.ask(3, 0, Some("k")));
+    assert_eq!(tried, Some(failing.clone()), "a safe job is the test");
+    serve(&mut host, 3, None);
+    assert_ne!(sent_to(&host.ask(4, 1, Some("k"))), Some(failing.clone()), "one served is no proof");
+    host.ms += 20_000.0;
+    assert_eq!(sent_to(&host.ask(5, 1, Some("k"))), Some(failing), "errors are forgotten");
+}
+
+#[test]
+fn errors_that_a_report_tells_of_keep_such_jobs_away_too() {
+    let (mut host, failing) = with_a_failing_worker();
+    serve(&mut host, 1, None);
+    let load = LoadReport { errors_per_s: Some(1.2), served_per_s: Some(0.5), ..LoadReport::default() };
+    let (outcome, latency) = (Outcome::Served, Span::from_ms(1.0));
+    host.tell(Event::Probed { worker: failing.as_str().into(), outcome, latency, load: Some(load) });
+    assert_ne!(sent_to(&host.ask(2, 1, Some("k"))), Some(failing.clone()));
+    assert_eq!(sent_to(&host.ask(3, 0, Some("k"))), Some(failing));
+}
+
+#[test]
+fn where_all_fail_a_job_is_sent_all_the_same() {
+    let mut host = Host::new(settings(&[Effect::Safe, Effect::Unsafe]), 1);
+    host.ask(1, 0, Some("k"));
+    host.tell(ended(1, 0, Outcome::Error, true, None));
+    host.ms += 3_000.0;
+    assert!(sent_to(&host.ask(2, 1, Some("k"))).is_some());
+}
+
 #[test]
 fn an_unsafe_job_that_may_have_run_fails_and_is_never_resent() {
     let mut host = Host::new(settings(&[Effect::Unsafe]), 4);
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -40,6 +40,8 @@
     Util,
     /// Errors a second.
     Errors,
+    /// Requests served a second.
+    Served,
     /// Free slots.
     FreeSlots,
     /// Free memory.
@@ -56,6 +58,7 @@
             ReportField::Queue => &mut report.queue,
             ReportField::Util => &mut report.util,
             ReportField::Errors => &mut report.errors_per_s,
+            ReportField::Served => &mut report.served_per_s,
             ReportField::FreeSlots => &mut report.free_slots,
             ReportField::FreeMemory => &mut report.free_memory,
             ReportField::Other => return,
@@ -189,6 +192,7 @@
         "pending" => ReportField::Queue,
         "cpu_share" => ReportField::Util,
         "failed_ps" => ReportField::Errors,
+        "served_ps" => ReportField::Served,
         "x0" => extra("specifics.report_x0"),
         "x1" => extra("specifics.report_x1"),
         _ => ReportField::Other,
