Refuse jobs that hold many slots for their worth sooner, where room is short

Change: the chance of a late start that a job is refused at falls with its worth a slot-second, squared; a job of more than one slot reckons with the slots that have to come free before its start.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -1,6 +1,5 @@
-//! Every decision of the dispatcher. Its interface (settings, events, actions) is src/api.rs.
-//!
-//! The ordinary path is the paper's greedy table, Algorithms 1 and 2; docs/design.md tells what departs.
+//! Every decision of the dispatcher, by the interface of src/api.rs: the ordinary path is the paper's greedy table,
+//! Algorithms 1 and 2.
 
 use std::collections::BTreeMap;
 
@@ -41,6 +40,7 @@
 const HURRY: f64 = 0.25; // part of its aim after which a job not started is offered to another worker,
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
 const LATE: f64 = 0.7; // a job more likely late than this is refused
+const THRIFT: i32 = 2; // the power by which jobs that hold many slots for their worth are refused sooner
 const MOST_USE: f64 = 0.98; // the most use of its slots that the chance of a late start reckons with
 const STRETCH_PART: f64 = 0.5; // the part of its own extra time that a job of unknown length may wait
 const FIRST_RUN: Span = Span(400_000); // first guess of a job's time in its slots
@@ -72,11 +72,9 @@
     fill: f64, // mean fill of workers over all reports, for those that never reported: those of other zones
     pressure: f64, // The part of recent jobs that were turned away or refused as late.
     run: Vec<Span>, // Mean time in slots of each class's jobs.
-    /// The same, learned at once from few jobs, and of how many: a guess that lasts overfills a cold worker.
-    costs: Vec<(f64, u32)>,
-    /// Per kind: slot-seconds asked for by jobs that need it, and the part of it that others leave to them.
-    asked: Vec<Faded>,
-    reserved: Vec<f64>,
+    costs: Vec<(f64, u32)>, // The same, learned at once, and of how many: a guess that lasts overfills cold ones.
+    asked: Vec<Faded>,      // Per kind: slot-seconds asked for by jobs that need it,
+    reserved: Vec<f64>,     // and the part of it that others leave to them.
     reserved_version: u64,
     tenants: Vec<Bucket>, // What each tenant may still send within its share.
     asking: Asking,
@@ -139,8 +137,7 @@
         }
         if self.now >= self.round {
             self.round = self.now + ROUND;
-            let oldest = now - TABLE_MEMORY;
-            self.table.retain(|_, t| t.demand.at >= oldest);
+            self.table.retain(|_, t| t.demand.at >= now - TABLE_MEMORY);
             self.reserve();
             // A worker's slots show in the report of an idle one; under load they are taken for fewer.
             if self.s.reporting == Reporting::Probe && self.s.limits.probes {
@@ -231,8 +228,8 @@
             self.tenants[t.0].level(self.now, rate, (rate * TENANT_DEPTH_S).max(1.0)) < 1.0
         });
         let kind = self.s.classes[r.class.0].kind;
-        let key = r.key.as_ref();
-        let key = key.map(|k| xxh3_64_with_seed(k.as_bytes(), kind.map_or(0, |k| k.0 as u64 + 1)));
+        let kinds = kind.map_or(0, |k| k.0 as u64 + 1);
+        let key = r.key.as_ref().map(|k| xxh3_64_with_seed(k.as_bytes(), kinds));
         if let Some(kind) = kind {
             self.asked[kind.0].add(self.now, KEY_MEMORY, self.run[r.class.0].secs() * r.slots);
         }
@@ -262,7 +259,7 @@
         let chance = to.and_then(|to| self.fleet.get(to)).map(|w| self.late_chance(w, &job));
         match to {
             // What would start too late is refused: served late it is worth nothing and keeps others late.
-            Some(_) if late_worth == 0.0 && chance.is_some_and(|c| c > LATE) => {
+            Some(_) if late_worth == 0.0 && chance.is_some_and(|c| c > LATE * self.thrift(&job)) => {
                 self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
                 self.conclude(id, out)
             }
@@ -281,8 +278,7 @@
     }
 
     /// Whether a job waits for a probe of the worker chosen, until `since` is `LOOK` ago: of a hundred dispatchers
-    /// each would take the same worker for free, and a job that must not run twice has no second choice. After a
-    /// zone is lost all its attempts would go, within moments, to workers that are not there.
+    /// each would take the same one for free, and after a zone is lost attempts would go to nobody, within moments.
     fn looks(&self, to: Wid, since: Time) -> bool {
         let asks = self.s.reporting == Reporting::Probe && self.s.limits.probes;
         let old = |w: &Worker| w.probe_out && w.reported.is_none_or(|at| self.now - at > OLD);
@@ -330,8 +326,15 @@
         let slots = self.slots(w).max(1.0);
         let fill = self.occupied(w) / slots;
         let slack = (self.latest_start(job) - self.now).secs() / self.mean_run().max(1e-3);
-        let left = slack - (fill - 1.0).max(0.0);
-        wait_chance(slots, fill.min(MOST_USE), left)
+        let held = fill + (job.slots - 1.0).max(0.0) / slots; // the head of a queue waits until all its slots are free
+        wait_chance(slots, fill.min(MOST_USE), slack - (held - 1.0).max(0.0))
+    }
+
+    /// A job's worth a slot-second, as a part of the most of any class: one of four slots keeps several others out.
+    fn thrift(&self, job: &Job) -> f64 {
+        let worth = |class: usize| self.s.classes[class].worth / self.costs[class].0.max(1e-3);
+        let most = (0..self.run.len()).map(worth).fold(1e-9, f64::max);
+        (worth(job.class.0) / job.slots.max(1.0) / most).powi(THRIFT)
     }
 
     fn mean_run(&self) -> f64 {
@@ -411,8 +414,7 @@
     }
 
     /// Among how many of a key's first workers a dispatcher draws where its scan begins: twice what is filled if all
-    /// see the key as often as this one just did. Reports are older than a job is long, and where each of many sees
-    /// a key once in a while, all would take the same worker for free until the next report.
+    /// see the key as often as this one just did. Until the next report, all would take the same one for free.
     fn home(&self, t: &Assigned, job: &Job) -> usize {
         let asked = self.sharers() * self.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
         let first = t.near.first().and_then(|id| self.fleet.get(*id)).map_or(PAPER_FULL, |w| self.slots(w));
@@ -646,8 +648,7 @@
 
     /// Health by outcomes: fast errors and dead connections must not look idle.
     fn judge(&mut self, worker: Wid, outcome: Outcome) {
-        let now = self.now;
-        let Some(w) = self.fleet.get_mut(worker) else { return };
+        let (now, Some(w)) = (self.now, self.fleet.get_mut(worker)) else { return };
         let ends = |of| f64::from(u8::from(outcome == of));
         w.count_ends(now, ERROR_MEMORY, ends(Outcome::Error), ends(Outcome::Served));
         match outcome {
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -156,6 +156,24 @@
     assert!(sent_to(&host.ask(2, 1, Some("k"))).is_some());
 }
 
+/// Where room is short, four slots for one job's worth keep three other jobs out.
+#[test]
+fn a_job_that_holds_many_slots_is_refused_while_a_small_one_is_still_sent() {
+    let answer = |slots: f64| {
+        let mut host = Host::new(settings(&[Effect::Safe]), 1);
+        for id in 0..7 {
+            host.ask(id, 0, Some("k"));
+        }
+        let Event::Request(asked) = request(9, 0, Some("k"), Time::from_ms(host.ms + 5_000.0)) else {
+            panic!()
+        };
+        host.tell(Event::Request(Request { slots, ..asked }))
+    };
+    assert!(sent_to(&answer(1.0)).is_some());
+    let large = answer(4.0);
+    assert!(large.iter().any(|a| matches!(a, Action::Refuse { .. })), "{large:?}");
+}
+
 #[test]
 fn an_unsafe_job_that_may_have_run_fails_and_is_never_resent() {
     let mut host = Host::new(settings(&[Effect::Unsafe]), 4);
