--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -323,18 +323,18 @@
 
     /// The chance that a job would start there too late; what is held beyond the slots comes first.
     fn late_chance(&self, w: &Worker, job: &Job) -> f64 {
-        let slots = self.slots(w).max(1.0);
-        let fill = self.occupied(w) / slots;
+        let (slots, held) = (self.slots(w).max(1.0), self.occupied(w));
+        let more = (job.slots - 1.0).max(0.0); // the head of a queue waits until all its slots are free
         let slack = (self.latest_start(job) - self.now).secs() / self.mean_run().max(1e-3);
-        let held = fill + (job.slots - 1.0).max(0.0) / slots; // the head of a queue waits until all its slots are free
-        wait_chance(slots, fill.min(MOST_USE), slack - (held - 1.0).max(0.0))
+        wait_chance(slots, (held / slots).min(MOST_USE), slack - ((held + more) / slots - 1.0).max(0.0))
     }
 
     /// A job's worth a slot-second, as a part of the most of any class: one of four slots keeps several others out.
     fn thrift(&self, job: &Job) -> f64 {
-        let worth = |class: usize| self.s.classes[class].worth / self.costs[class].0.max(1e-3);
-        let most = (0..self.run.len()).map(worth).fold(1e-9, f64::max);
-        (worth(job.class.0) / job.slots.max(1.0) / most).powi(THRIFT)
+        let worth = |class: usize| (self.s.classes[class].worth / self.costs[class].0.max(1e-3)).max(1e-9);
+        let seen = (0..self.costs.len()).filter(|class| self.costs[*class].1 > 0);
+        let most = seen.map(worth).fold(worth(job.class.0), f64::max);
+        (worth(job.class.0) / most / job.slots.max(1.0)).powi(THRIFT)
     }
 
     fn mean_run(&self) -> f64 {
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -156,6 +156,25 @@
     assert!(sent_to(&host.ask(2, 1, Some("k"))).is_some());
 }
 
+/// What has not run yet is not known to be dear: a first guess of its run time must not refuse anything.
+#[test]
+fn a_class_that_has_not_run_yet_makes_no_other_look_dear() {
+    let mut host = Host::new(settings(&[Effect::Safe, Effect::Unsafe]), 1);
+    host.ask(1, 0, Some("k"));
+    let latency = Span::from_ms(1_600.0);
+    let (request, load) = (RequestId(1), None);
+    host.tell(Event::Outcome(AttemptEnd {
+        request,
+        attempt: 0,
+        outcome: Outcome::Served,
+        latency,
+        closed: true,
+        load,
+    }));
+    (2..9).for_each(|id| drop(host.ask(id, 0, Some("k"))));
+    assert!(sent_to(&host.ask(9, 0, Some("k"))).is_some());
+}
+
 /// Where room is short, four slots for one job's worth keep three other jobs out.
 #[test]
 fn a_job_that_holds_many_slots_is_refused_while_a_small_one_is_still_sent() {
