Call off jobs whose log worker falls silent; give no cold turn to two versions

After two pauses without a word the attempt is called off: the rule then fails what must not run twice, and sends the rest elsewhere if that is in time. A new process knew no spent turns (turn_spent starts at none), so for up to fall_span it could spend those of its forerunner again; it now leaves alone what opened before it lived. A process that started while another looked at the free place had no place for good; it now tries again with each look.

--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -42,6 +42,7 @@
         discovery: Discovery::Automatic,
         reporting: Reporting::Answers,
         tells_start: true,
+        progress: Span::from_ms(2_000.0),
         cross_zone_price: 0.03,
         quantum: Span::from_ms(4.0),
         limits: Limits {
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -238,6 +238,8 @@
     pub reporting: Reporting,
     /// Workers tell when a job starts.
     pub tells_start: bool,
+    /// How often they tell how far a job is that runs; 0: never.
+    pub progress: Span,
     /// What an attempt across zones costs, as a part of a request's worth.
     pub cross_zone_price: f64,
     /// The shortest gap between two calls of `handle`.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -6,8 +6,8 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::api::{
-    Ban, Census, ClassId, Group, KindId, ListScope, Listing, LoadReport, Name, Readiness, Request, RequestId,
-    Rules, Settings, Span, TenantId, Time,
+    Ban, Census, ClassId, Group, KindId, ListScope, Listing, LoadReport, Name, Note, Readiness, Request,
+    RequestId, Rules, Settings, Span, TenantId, Time,
 };
 
 /// A worker's number at one dispatcher; never reused.
@@ -75,12 +75,14 @@
     pub peers: Peers,
     pub fate: Fate,
     pub started: Option<Time>,
+    /// When the worker last told how far it is, from the start on.
+    heard: Option<Time>,
     pub called_off: bool,
 }
 
 impl Attempt {
     pub fn new(worker: Wid, sent: Time, peers: Peers) -> Self {
-        Attempt { worker, sent, peers, fate: Fate::Out, started: None, called_off: false }
+        Attempt { worker, sent, peers, fate: Fate::Out, started: None, heard: None, called_off: false }
     }
 }
 
@@ -129,6 +131,11 @@
     pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|a| a.fate != Fate::NeverRan)
     }
+    /// When a worker that runs it will have been silent for `patience`, if that is more than nothing.
+    pub fn silent_at(&self, patience: Span) -> Option<Time> {
+        let out = self.attempts.iter().filter(|a| a.fate == Fate::Out && !a.called_off && patience.0 > 0);
+        out.filter_map(|a| Some(a.heard? + patience)).min()
+    }
     pub fn tried(&self, worker: Wid) -> bool {
         self.attempts.iter().any(|a| a.worker == worker)
     }
@@ -673,6 +680,14 @@
         }
         which
     }
+    /// Takes what a worker tells of an attempt; returns the worker and when it was sent to, if it has just started.
+    pub fn hears(&mut self, id: RequestId, attempt: usize, note: Note, now: Time) -> Option<(Wid, Time)> {
+        let a = self.jobs.get_mut(&id)?.attempts.get_mut(attempt)?;
+        let starts = note == Note::Started && a.started.is_none();
+        a.started = if starts { Some(now) } else { a.started };
+        a.heard = a.started.map(|_| now);
+        starts.then_some((a.worker, a.sent))
+    }
     /// The answer streams: from now on the request has no deadline.
     pub fn stream(&mut self, id: RequestId) {
         if let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.attempts.is_empty()) {
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -37,6 +37,7 @@
 const OLD: Span = Span(2_000_000); // age of news that says nothing: where many share a fleet each hears seldom,
 const LOOK: Span = Span(80_000); // and a new job waits so long at most for the answers to probes
 const WAITS: Span = Span(60_000); // a job not started after this waits in a queue: no slot is free there
+const SILENT: i64 = 2; // times the pause between a worker's words on a job, after which it is called off there
 const HURRY: f64 = 0.25; // part of its aim after which a job not started is offered to another worker,
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
 const LATE: f64 = 0.7; // a job more likely late than this is refused
@@ -296,8 +297,13 @@
         let spent = job.attempts.len() >= limits.max_attempts || self.now >= self.latest_start(job);
         let offer = job.attempts.last().map_or(last, |a| a.sent) + Span((class.aim.0 as f64 * HURRY) as i64);
         let may = waits && copies && !spent && class.effect != Effect::Unsafe;
+        // A worker that runs it and says nothing: what must not run twice fails at once, the rest goes elsewhere.
+        let silent = job.silent_at(Span(self.s.progress.0 * SILENT)).filter(|_| limits.cancel);
         let (job, next) = (job.clone(), if may && self.now < offer { offer.min(last) } else { last });
-        self.book.look_at(id, Some(next));
+        self.book.look_at(id, Some(silent.filter(|at| *at > self.now).map_or(next, |at| at.min(next))));
+        if silent.is_some_and(|at| at <= self.now) {
+            self.call_off(id, true, out);
+        }
         if may && self.now >= offer {
             let to = self.choose(&job, out);
             let w = to.and_then(|to| self.fleet.get(to));
@@ -354,8 +360,7 @@
 
     /// The state of a worker towards a key of which each of its workers runs `part` slots.
     fn state(&self, w: &Worker, slots: f64, part: f64) -> State {
-        let capacity = self.slots(w);
-        let occupied = self.occupied(w).max(part);
+        let (capacity, occupied) = (self.slots(w), self.occupied(w).max(part));
         let queued = self.s.tells_start && w.waits(self.now, WAITS);
         let full = occupied + slots > (T_FULL * capacity).max(slots) + ROUNDING;
         match occupied >= T_BUSY * capacity {
@@ -528,20 +533,19 @@
     /// Rule 4. All dispatchers share one plan for a cold worker: COLD_PART of the budget, dealt out in turns
     /// of one job, in an order shifted per worker. `Some(turn)` when the own turn is open, or it is warm.
     fn cold_turn(&self, w: &Worker) -> Option<i64> {
-        let (Some(started), rules) = (w.started, &self.s.rules) else { return Some(i64::MIN) };
+        let rules = &self.s.rules;
+        let Some(started) = w.started.filter(|at| self.now - *at < rules.ramp) else { return Some(i64::MIN) };
         let (age, ramp) = ((self.now - started).secs().max(0.0), rules.ramp.secs());
-        if age >= ramp {
-            return Some(i64::MIN);
-        }
-        let slots = w.learned_slots.unwrap_or(PAPER_FULL);
         let cost = self.costs.iter().map(|c| c.0).fold(1e-3, f64::max);
-        let full = COLD_PART * rules.fall_multiple * slots / cost;
+        let full = COLD_PART * rules.fall_multiple * w.learned_slots.unwrap_or(PAPER_FULL) / cost;
         let jobs = full * (rules.cold_from * age + (1.0 - rules.cold_from) * age * age / (2.0 * ramp));
         let all = self.s.balancers as u64;
         let place = (self.s.me as u64).wrapping_add(w.hash) % all;
         let turns = (jobs - place as f64) / all as f64;
         let into = (turns - turns.floor()) * all as f64 / (full * w.warmth(rules, self.now));
-        let open = turns >= 0.0 && into <= rules.fall_span.secs() && turns.floor() as i64 > w.turn_spent;
+        // Of turns that opened before this process lived, an earlier one of the same number may have had its use.
+        let own = self.born.map_or(0.0, |at| (self.now - at).secs()).min(rules.fall_span.secs());
+        let open = turns >= 0.0 && into <= own && turns.floor() as i64 > w.turn_spent;
         open.then_some(turns.floor() as i64)
     }
 
@@ -596,13 +600,9 @@
 
     fn on_note(&mut self, id: RequestId, attempt: usize, note: Note, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(a) = self.book.get_mut(id).and_then(|j| j.attempts.get_mut(attempt)) else { return };
-        if note != Note::Started || a.started.is_some() {
-            return;
-        }
-        a.started = Some(now);
-        let (worker, sent) = (a.worker, a.sent);
+        let Some((worker, sent)) = self.book.hears(id, attempt, note, now) else { return };
         self.call_off(id, false, out);
+        self.advance(id, out);
         let runs = ((now - sent).secs() - WAITS.secs()) / self.mean_run();
         let Some(w) = self.fleet.get_mut(worker) else { return };
         w.starts(sent);
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -175,6 +175,82 @@
     assert!(sent_to(&host.ask(9, 0, Some("k"))).is_some());
 }
 
+/// What is told of a job that runs, one note each two seconds, and then nothing.
+fn goes_silent(class: usize) -> (Host, String, Vec<Action>) {
+    let mut host = Host::new(settings(&[Effect::Safe, Effect::Unsafe]), 4);
+    let (request, attempt) = (RequestId(1), 0);
+    let first = sent_to(&host.tell(request_of(1, class, 30_000.0, host.now()))).expect("sent");
+    for note in [Note::Started, Note::Progress(0.2), Note::Progress(0.4)] {
+        let out = host.tell(Event::Note { request, attempt, note });
+        assert!(!cancels(&out), "it is being told of");
+        host.ms += 3_900.0;
+        assert!(!cancels(&host.tell(Event::Timer(0))), "one note may be late");
+    }
+    host.ms += 200.0;
+    let out = host.tell(Event::Timer(0));
+    (host, first, out)
+}
+
+fn request_of(id: u64, class: usize, ms: f64, now: Time) -> Event {
+    request(id, class, Some("k"), now + Span::from_ms(ms))
+}
+
+fn cancels(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Cancel { .. }))
+}
+
+#[test]
+fn a_job_whose_worker_falls_silent_gets_its_answer_at_once_and_is_not_sent_again_late_or_unsafe() {
+    let (mut host, _, out) = goes_silent(1);
+    assert!(cancels(&out), "{out:?}");
+    let out = host.tell(ended(1, 0, Outcome::Cancelled, false, None));
+    assert!(matches!(out[..], [Action::Fail(RequestId(1)), ..]), "it may have run: {out:?}");
+    let (mut host, _, out) = goes_silent(0);
+    assert!(cancels(&out), "{out:?}");
+    let out = host.tell(ended(1, 0, Outcome::Cancelled, false, None));
+    assert!(matches!(out[..], [Action::Refuse { .. }, ..]), "too late to start anew: {out:?}");
+}
+
+#[test]
+fn a_safe_job_whose_worker_falls_silent_goes_elsewhere_while_that_is_in_time() {
+    let mut s = settings(&[Effect::Safe]);
+    s.classes[0].aim = Span::from_ms(8_000.0);
+    let mut host = Host::new(s, 4);
+    let first = sent_to(&host.ask(1, 0, Some("k"))).expect("sent");
+    host.tell(Event::Note { request: RequestId(1), attempt: 0, note: Note::Started });
+    host.ms += 4_000.0;
+    assert!(cancels(&host.tell(Event::Timer(0))));
+    let again = sent_to(&host.tell(ended(1, 0, Outcome::Cancelled, false, None)));
+    assert!(again.is_some_and(|again| again != first));
+}
+
+/// Two processes of one dispatcher share its turns at a cold worker: what one has spent, the next may not spend again.
+#[test]
+fn a_new_process_leaves_alone_the_cold_turn_that_an_earlier_one_has_had() {
+    let start = Time::from_ms(1_000.0);
+    let born_at = |ms| {
+        let mut s = settings(&[Effect::Safe]);
+        s.rules.fall_span = Span::from_ms(3_000.0);
+        let mut host = Host { d: Dispatcher::new(s, 7).expect("settings"), ms };
+        let cold = Listing { started: Some(start), ..listing(0) };
+        host.tell(list(ListScope::Complete, vec![cold]));
+        host
+    };
+    let mut old = born_at(1_000.0);
+    let first = (0..100u64).find(|id| {
+        old.ms += 100.0;
+        sent_to(&old.ask(*id, 0, None)).is_some()
+    });
+    assert!(first.is_some(), "its turn comes");
+    let mut new = born_at(old.ms + 20.0);
+    assert_eq!(sent_to(&new.ask(1, 0, None)), None, "spent");
+    let next = (2..100u64).find(|id| {
+        new.ms += 100.0;
+        sent_to(&new.ask(*id, 0, None)).is_some()
+    });
+    assert!(next.is_some(), "the next one is its own");
+}
+
 /// Where room is short, four slots for one job's worth keep three other jobs out.
 #[test]
 fn a_job_that_holds_many_slots_is_refused_while_a_small_one_is_still_sent() {
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -186,6 +186,7 @@
         discovery: Discovery::Subscribe,
         reporting: Reporting::Probe,
         tells_start: true,
+        progress: Span(0),
         cross_zone_price: 0.03,
         quantum: s.span("tick"),
         limits: Limits {
--- a/crates/state/src/tenancy.rs
+++ b/crates/state/src/tenancy.rs
@@ -12,9 +12,9 @@
 /// This process's place in the folder.
 #[derive(Debug)]
 pub struct Tenancy {
-    /// None if two others are there already.
-    _own: Option<File>,
-    other: PathBuf,
+    places: [PathBuf; 2],
+    /// Which is this process's own; none as long as others hold both, if only for a look.
+    own: Option<(usize, File)>,
 }
 
 impl Tenancy {
@@ -23,20 +23,31 @@
     /// # Errors
     /// The files cannot be opened or locked.
     pub fn take(folder: &Path) -> io::Result<Self> {
-        for (name, other) in [(0, 1), (1, 0)] {
-            if let Some(own) = lock(&folder.join(NAMES[name]))? {
-                return Ok(Tenancy { _own: Some(own), other: folder.join(NAMES[other]) });
+        let mut tenancy = Tenancy { places: NAMES.map(|name| folder.join(name)), own: None };
+        tenancy.settle()?;
+        Ok(tenancy)
+    }
+
+    /// Another process that looks holds the free place for a moment, so one that found none tries again later.
+    fn settle(&mut self) -> io::Result<()> {
+        for at in 0..self.places.len() {
+            if self.own.is_none() {
+                self.own = lock(&self.places[at])?.map(|file| (at, file));
             }
         }
-        Ok(Tenancy { _own: None, other: folder.join(NAMES[0]) })
+        Ok(())
     }
 
     /// Whether another process lives.
     ///
     /// # Errors
     /// The other place cannot be looked at.
-    pub fn is_shared(&self) -> io::Result<bool> {
-        Ok(lock(&self.other)?.is_none())
+    pub fn is_shared(&mut self) -> io::Result<bool> {
+        self.settle()?;
+        match &self.own {
+            Some((at, _)) => Ok(lock(&self.places[1 - at])?.is_none()),
+            None => Ok(true),
+        }
     }
 }
 
@@ -47,13 +58,27 @@
     #[test]
     fn each_of_two_sees_the_other_for_as_long_as_it_lives() {
         let folder = tempfile::tempdir().expect("a folder");
-        let first = Tenancy::take(folder.path()).expect("a place");
+        let mut first = Tenancy::take(folder.path()).expect("a place");
         assert!(!first.is_shared().expect("a look"));
-        let second = Tenancy::take(folder.path()).expect("a place");
+        let mut second = Tenancy::take(folder.path()).expect("a place");
         assert!(first.is_shared().expect("a look") && second.is_shared().expect("a look"));
         drop(first);
         assert!(!second.is_shared().expect("a look"));
-        let third = Tenancy::take(folder.path()).expect("a place");
+        let mut third = Tenancy::take(folder.path()).expect("a place");
         assert!(second.is_shared().expect("a look") && third.is_shared().expect("a look"));
     }
+
+    /// A look holds the free place for a moment: one that starts in it takes its place later, and is seen then.
+    #[test]
+    fn one_that_starts_while_another_looks_is_seen_soon() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut first = Tenancy::take(folder.path()).expect("a place");
+        let look = lock(&folder.path().join(NAMES[1])).expect("a lock").expect("free");
+        let mut second = Tenancy::take(folder.path()).expect("none, for now");
+        assert!(second.is_shared().expect("a look"), "both are held");
+        drop(look);
+        assert!(second.is_shared().expect("a look") && first.is_shared().expect("a look"));
+        drop(second);
+        assert!(!first.is_shared().expect("a look"));
+    }
 }
