Let the line-based file say how often progress is due; none is on the Faktory front

Consumers tell of no progress, so with the platform's settings their jobs would have been called off after 4 s.

--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -382,8 +382,8 @@
                 Kind::Texts,
                 Nothing,
                 "fields",
-                "Their fields, by the names `busy_reqs`, `pending`, `cpu_share`, `failed_ps`, `x0`, `x1`; others \
-                 are skipped.",
+                "Their fields, by the names `busy_reqs`, `pending`, `cpu_share`, `failed_ps`, `served_ps`, `x0`, \
+                 `x1`; others are skipped.",
             ),
             key(
                 "x0",
@@ -406,6 +406,14 @@
                 "/settings/specifics/tells_start",
                 "Log workers tell when a job starts.",
             ),
+            key(
+                "progress",
+                time(0.0, DAY),
+                Default("0ms"),
+                "/settings/specifics/progress_ms",
+                "How often log workers tell how far a job is that they run; 0ms: never. One that says nothing for \
+                 twice as long has its job called off.",
+            ),
         ],
     },
     Section {
--- a/crates/faktory/src/lib.rs
+++ b/crates/faktory/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use server::{Operators, Server};
 
-use rookspoke_decisions::{Discovery, Reporting, Settings};
+use rookspoke_decisions::{Discovery, Reporting, Settings, Span};
 
 /// The section `faktory` of the configuration.
 #[derive(Clone, Debug, Deserialize)]
@@ -51,6 +51,8 @@
     (s.zone, s.zones) = (hall::ZONE.into(), vec![hall::ZONE.into()]);
     (s.discovery, s.reporting) = (Discovery::Automatic, Reporting::Answers);
     (s.tells_start, s.limits.probes, s.limits.cancel) = (true, false, true);
+    // A consumer says nothing of a job that it runs.
+    s.progress = Span(0);
     s.kinds.clear();
     s.classes.iter_mut().for_each(|c| c.kind = None);
     s.tenants.clear();
--- a/crates/rookspoke/tests/operators.rs
+++ b/crates/rookspoke/tests/operators.rs
@@ -422,3 +422,50 @@
     }
     assert!(of("cmdline").starts_with(env!("CARGO_BIN_EXE_rookspoke")), "exec, and no shell around it");
 }
+
+/// What callers cost the jobs beside them: ten scrapes a second, and each second two callers that say nothing and two
+/// with half a call. Prints the times of jobs, in microseconds, with and without them, in turns.
+#[test]
+#[ignore = "a measurement: cargo test --release -p rookspoke --test operators -- --ignored --nocapture cost"]
+fn cost_of_console_calls() {
+    let worker = Worker::serving("w-1");
+    let (place, _discovery) = place(&[&worker]);
+    let daemon = place.ready();
+    let (console, clients) = (daemon.address("console"), place.clients());
+    let round = |round: u32| {
+        let mut times: Vec<u128> = (0..1000)
+            .map(|n| {
+                let start = Instant::now();
+                assert_eq!(ask(clients, &job("log-lookup", round * 1000 + n + 1)).status, 200);
+                thread::sleep(Duration::from_millis(1));
+                start.elapsed().as_micros()
+            })
+            .collect();
+        times.sort_unstable();
+        (times[500], times[990])
+    };
+    for at in 0..5 {
+        let alone = round(2 * at);
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = stop.clone();
+        let callers = thread::spawn(move || {
+            let mut slow = std::collections::VecDeque::new();
+            for turn in 0..10_000 {
+                if seen.load(Ordering::SeqCst) {
+                    return turn;
+                }
+                assert_eq!(get(console, "/control/counters").status, 200);
+                if turn % 10 == 0 {
+                    slow.extend(["", "", "GET /control/re", "PUT /con"].map(|t| send(console, t.as_bytes())));
+                }
+                slow.drain(..slow.len().saturating_sub(16));
+                thread::sleep(Duration::from_millis(100));
+            }
+            10_000
+        });
+        let beside = round(2 * at + 1);
+        stop.store(true, Ordering::SeqCst);
+        let scrapes = callers.join().expect("callers");
+        println!("median, 99th percentile: alone {alone:?}, beside {scrapes} scrapes {beside:?}");
+    }
+}
--- a/crates/rookspoke/tests/platform.rs
+++ b/crates/rookspoke/tests/platform.rs
@@ -5,6 +5,7 @@
 use std::io::{BufReader, Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
+use std::time::{Duration, Instant};
 
 use common::world::*;
 use serde_json::json;
@@ -33,6 +34,30 @@
     );
 }
 
+/// Its connection stays open: nothing but the missing words tells that it hangs.
+#[test]
+fn a_log_worker_that_falls_silent_over_a_job_holds_up_no_client() {
+    let quiet = Worker::start("w-quiet", |request, to| {
+        objects(to, &[state(request, "started")], false);
+        true
+    });
+    let (sound, out) = (Worker::serving("w-sound"), "leaving");
+    let discovery = Discovery::start(vec![quiet.entry("active"), sound.entry(out)]);
+    let mut config = config(discovery.address);
+    config["settings"]["specifics"]["progress_ms"] = 300.0.into();
+    let daemon = Daemon::start(&config, None);
+    let http = daemon.address("http");
+    let start = Instant::now();
+    let answer = ask(http, &post("qso-confirm", "00000000000000b1", 20_000, ""));
+    assert_eq!(answer.status, 500, "it may have run");
+    assert!(start.elapsed() < Duration::from_secs(10), "{:?}", start.elapsed());
+    let client = send(http, &post("log-lookup", "00000000000000b2", 9_000, ""));
+    wait_for("the look-up's attempt", || (quiet.count() >= 2).then_some(()));
+    discovery.change(sound.entry("active"));
+    let answer = read_message(&mut BufReader::new(client)).expect("an answer");
+    assert_eq!((answer.status, sound.count()), (200, 1), "it may run twice");
+}
+
 #[test]
 fn results_of_every_form_reach_the_client() {
     let bodies = [r#""a \"quoted\" line\n""#, r#"{"b": [1,  2]}"#, r#""""#, "\"\u{151}\""];
