--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -646,8 +646,9 @@
         match action {
             Action::Send { request, worker, timeout } => self.send(seat, request.0, &worker, timeout),
             Action::Cancel { request, attempt } => {
+                // One that was never sent has no place among the attempts; its end is on the way.
                 let which = self.open.get(&request.0).and_then(|all| all.get(attempt)).copied();
-                if let Some(attempt) = which.filter(|attempt| self.attempts[*attempt].out) {
+                if let Some(attempt) = which.filter(|at| self.attempts.get(*at).is_some_and(|a| a.out)) {
                     self.cancel_at_worker(attempt);
                     self.ended(attempt, Outcome::Cancelled);
                 }
