Name a worker's failing part, read fading sums without a copy, and tidy two tests

Cause: a last read of the change. Worker::errors returned a pair of which each caller used half, through copies of sums that were added nothing to; thrift's text did not say that it is squared; one rename in on_request served nothing; two tests carried values that nobody used.

--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -25,10 +25,14 @@
 impl Faded {
     /// Adds `more` to what is left of the sum at `now`, and returns it.
     pub fn add(&mut self, now: Time, over: Span, more: f64) -> f64 {
-        self.value = self.value * (-(now - self.at).secs() / over.secs()).exp() + more;
+        self.value = self.level(now, over) + more;
         self.at = now;
         self.value
     }
+    /// What is left of the sum at `now`.
+    pub fn level(&self, now: Time, over: Span) -> f64 {
+        self.value * (-(now - self.at).secs() / over.secs()).exp()
+    }
 }
 
 /// A bucket that fills at a steady rate; full at first.
@@ -307,10 +311,14 @@
         self.errors.add(now, over, errors);
         self.served.add(now, over, served);
     }
-    /// Its recent errors, and the part that they are of its jobs if it served one more.
-    pub fn errors(&self, now: Time, over: Span) -> (f64, f64) {
-        let [errors, served] = [self.errors, self.served].map(|mut sum| sum.add(now, over, 0.0));
-        (errors, errors / (errors + served + 1.0))
+    /// Its recent errors.
+    pub fn errors(&self, now: Time, over: Span) -> f64 {
+        self.errors.level(now, over)
+    }
+    /// The part that these are of its recent jobs, if it served one more.
+    pub fn failing(&self, now: Time, over: Span) -> f64 {
+        let errors = self.errors(now, over);
+        errors / (errors + self.served.level(now, over) + 1.0)
     }
     pub fn waits(&self, now: Time, least: Span) -> bool {
         self.waiting.first().is_some_and(|at| now - *at > least)
@@ -684,7 +692,7 @@
     pub fn hears(&mut self, id: RequestId, attempt: usize, note: Note, now: Time) -> Option<(Wid, Time)> {
         let a = self.jobs.get_mut(&id)?.attempts.get_mut(attempt)?;
         let starts = note == Note::Started && a.started.is_none();
-        a.started = if starts { Some(now) } else { a.started };
+        a.started = a.started.or(starts.then_some(now));
         a.heard = a.started.map(|_| now);
         starts.then_some((a.worker, a.sent))
     }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -229,8 +229,8 @@
             self.tenants[t.0].level(self.now, rate, (rate * TENANT_DEPTH_S).max(1.0)) < 1.0
         });
         let kind = self.s.classes[r.class.0].kind;
-        let kinds = kind.map_or(0, |k| k.0 as u64 + 1);
-        let key = r.key.as_ref().map(|k| xxh3_64_with_seed(k.as_bytes(), kinds));
+        let key = r.key.as_ref();
+        let key = key.map(|k| xxh3_64_with_seed(k.as_bytes(), kind.map_or(0, |k| k.0 as u64 + 1)));
         if let Some(kind) = kind {
             self.asked[kind.0].add(self.now, KEY_MEMORY, self.run[r.class.0].secs() * r.slots);
         }
@@ -335,7 +335,7 @@
         wait_chance(slots, (held / slots).min(MOST_USE), slack - ((held + more) / slots - 1.0).max(0.0))
     }
 
-    /// A job's worth a slot-second, as a part of the most of any class: one of four slots keeps several others out.
+    /// A job's worth a slot-second as a part of any class's most, squared: one of four slots keeps several others out.
     fn thrift(&self, job: &Job) -> f64 {
         let worth = |class: usize| (self.s.classes[class].worth / self.costs[class].0.max(1e-3)).max(1e-9);
         let seen = (0..self.costs.len()).filter(|class| self.costs[*class].1 > 0);
@@ -442,7 +442,7 @@
         let (mut t, part) = self.entry(key, kind);
         let home = if self.shared() { self.home(&t, job).min(t.near.len()) } else { 1 };
         let drawn = if self.shared() { self.rng.random::<u32>() as usize } else { 0 };
-        let risky = |w: &Worker| w.errors(self.now, ERROR_MEMORY).1 > RISK;
+        let risky = |w: &Worker| w.failing(self.now, ERROR_MEMORY) > RISK;
         let once = self.s.classes[job.class.0].effect == Effect::Unsafe;
         let careful = once && !self.fleet.ready.iter().filter_map(|id| self.fleet.get(*id)).all(risky);
         let healthy = |w: &Worker| self.now >= w.shunned_until && w.holds(job) && !(careful && risky(w));
@@ -656,7 +656,7 @@
             Outcome::TurnedAway => w.full_until = now + FULL_FOR,
             Outcome::Cancelled | Outcome::NotSent | Outcome::Severed | Outcome::Unusable => return,
             _ => {
-                let again = f64::from(w.fails).max(w.errors(now, ERROR_MEMORY).0 - 1.0).round() as u32;
+                let again = f64::from(w.fails).max(w.errors(now, ERROR_MEMORY) - 1.0).round() as u32;
                 w.shunned_until = now + Span(SHUN.0 << again.min(SHUN_DOUBLINGS));
                 w.fails += 1;
             }
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -176,10 +176,11 @@
 }
 
 /// What is told of a job that runs, one note each two seconds, and then nothing.
-fn goes_silent(class: usize) -> (Host, String, Vec<Action>) {
+fn goes_silent(class: usize) -> (Host, Vec<Action>) {
     let mut host = Host::new(settings(&[Effect::Safe, Effect::Unsafe]), 4);
+    let deadline = host.now() + Span::from_ms(30_000.0);
+    sent_to(&host.tell(request(1, class, Some("k"), deadline))).expect("sent");
     let (request, attempt) = (RequestId(1), 0);
-    let first = sent_to(&host.tell(request_of(1, class, 30_000.0, host.now()))).expect("sent");
     for note in [Note::Started, Note::Progress(0.2), Note::Progress(0.4)] {
         let out = host.tell(Event::Note { request, attempt, note });
         assert!(!cancels(&out), "it is being told of");
@@ -188,11 +189,7 @@
     }
     host.ms += 200.0;
     let out = host.tell(Event::Timer(0));
-    (host, first, out)
-}
-
-fn request_of(id: u64, class: usize, ms: f64, now: Time) -> Event {
-    request(id, class, Some("k"), now + Span::from_ms(ms))
+    (host, out)
 }
 
 fn cancels(actions: &[Action]) -> bool {
@@ -201,11 +198,11 @@
 
 #[test]
 fn a_job_whose_worker_falls_silent_gets_its_answer_at_once_and_is_not_sent_again_late_or_unsafe() {
-    let (mut host, _, out) = goes_silent(1);
+    let (mut host, out) = goes_silent(1);
     assert!(cancels(&out), "{out:?}");
     let out = host.tell(ended(1, 0, Outcome::Cancelled, false, None));
     assert!(matches!(out[..], [Action::Fail(RequestId(1)), ..]), "it may have run: {out:?}");
-    let (mut host, _, out) = goes_silent(0);
+    let (mut host, out) = goes_silent(0);
     assert!(cancels(&out), "{out:?}");
     let out = host.tell(ended(1, 0, Outcome::Cancelled, false, None));
     assert!(matches!(out[..], [Action::Refuse { .. }, ..]), "too late to start anew: {out:?}");
--- a/crates/rookspoke/tests/platform.rs
+++ b/crates/rookspoke/tests/platform.rs
@@ -41,8 +41,8 @@
         objects(to, &[state(request, "started")], false);
         true
     });
-    let (sound, out) = (Worker::serving("w-sound"), "leaving");
-    let discovery = Discovery::start(vec![quiet.entry("active"), sound.entry(out)]);
+    let sound = Worker::serving("w-sound");
+    let discovery = Discovery::start(vec![quiet.entry("active"), sound.entry("leaving")]);
     let mut config = config(discovery.address);
     config["settings"]["specifics"]["progress_ms"] = 300.0.into();
     let daemon = Daemon::start(&config, None);
