Rehearse with real processes: crate rookspoke-rig, and news read after a stall

Need: many processes under failure, proven by tests that start several and break them and the links between them. The emulator has none. rookspoke-rig starts daemons by name (SIGKILL, SIGTERM, SIGSTOP, duty cycle; nothing outlives a rig that is killed), serves the emulator's own model of log workers, discovery and an open-loop load on sockets, leads ways through links (delay, jitter, cut one way, refuse, rate, reset at a byte; loss, duplicates and reordering of datagrams, seeded), reads the lab's scripts with stall, slowed, kill, restart and link, and judges from outside.

Found with it: a dispatcher stopped for 5 s sent to two drained log workers for 126 ms after it woke (16 sends and more, 'n1 sent to w1, told 3748 ms before'). Cause: its watch's time of 3 s was up when it woke, before the news that lay in the socket was read, so the watch was dropped and the list asked for anew (resolver.rs, timeout(SILENCE)). What lies there is read for 50 ms before a watch counts as silent. Ruled out: the order of news and jobs in the task, since with the mend the same play keeps the rule.

--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -25,6 +25,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(2200);
 /// A watch brings at least an empty line every 2 s; one silent for longer is dead, whatever TCP says.
 const SILENCE: Duration = Duration::from_secs(3);
+/// What had come before a watch's time was up is read within this.
+const UNREAD: Duration = Duration::from_millis(50);
 
 /// A resolver result: what a call or a watch brought.
 #[derive(Clone, Debug)]
@@ -144,7 +146,12 @@
         let path = format!("{PATH}?watch=1&after={}", self.rev.unwrap_or(0));
         let (_connection, mut lines) = timeout(CALL_TIMEOUT, call(address, &path)).await??;
         loop {
-            let line = timeout(SILENCE, lines.next()).await??.ok_or(CallError::Ended)?;
+            let line = match timeout(SILENCE, lines.next()).await {
+                Ok(line) => line,
+                // Stopped for longer than that, this process wakes with its time up and news unread.
+                Err(_) => timeout(UNREAD, lines.next()).await?,
+            };
+            let line = line?.ok_or(CallError::Ended)?;
             if !line.iter().all(u8::is_ascii_whitespace) {
                 self.pass_on(&line, tell).await?;
             }
--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -3,6 +3,7 @@
 //! One queue of events, ordered by time and by when they were put in. A run takes a [`Scenario`], a policy and a
 //! seed, and gives a [`Report`]; the same three always give the same report.
 
+mod draw;
 mod fleet;
 mod store;
 mod worker;
@@ -15,18 +16,18 @@
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::Rng;
-use rand_distr::{Distribution, LogNormal, Zipf};
 use rookspoke_decisions::{
     Action, AttemptEnd, ClassId, Discovery, Effect, Event, Limits, ListScope, Listing, LoadReport, Name,
     Note, Outcome, Readiness, Reporting, Request, RequestId, Rules, Settings, SettingsError, Span, Time,
 };
 
+pub use draw::{arrivals, hit, is_costly, make, Arrival};
 pub use store::Store;
 pub use worker::{Begins, Job, Make, Order, Worker};
 
 use crate::check::{Checker, Figures, Rule, RULES};
 use crate::policy::{Kind, Policy, SharedTruth, Way};
-use crate::report::{ClassReport, Report, Window};
+use crate::report::{spread, Asked, ClassReport, Report, Score};
 use crate::rng::{stream, Stream};
 use crate::scenario::{Incident, Scenario, Trouble};
 use fleet::{Machine, Seat};
@@ -234,24 +235,8 @@
             all.push(kind.build(&settings(s, number), own_seed, rng, &truth)?);
         }
         let machines = (0..workers).map(|number| {
-            let spread = s.get("worker.speed-spread");
-            let speed: f64 = unit_log_normal(spread).sample(&mut stream(seed, Stream::Speed, number as u64));
-            let make = Make {
-                cores: s.get("worker.cores"),
-                slots: s.get("worker.slots"),
-                queue: s.count("worker.queue"),
-                order: match s.count("worker.order") {
-                    0 => Order::Fifo,
-                    1 => Order::Backfill,
-                    _ => Order::Priority,
-                },
-                speed,
-                crowding: s.get("worker.crowding"),
-                cold_from: s.get("worker.cold-from"),
-                cold_for: s.span("worker.cold-for"),
-                archives: s.count("worker.archives"),
-            };
-            Machine::new(Worker::new(make), number % zones, stream(seed, Stream::Report, number as u64))
+            let rng = stream(seed, Stream::Report, number as u64);
+            Machine::new(Worker::new(make(s, seed, number)), number % zones, rng)
         });
         let mut day = Day {
             now: Time(0),
@@ -335,52 +320,14 @@
 
     /// All arrivals, drawn before anything happens: they do not wait for answers.
     fn plan_arrivals(&mut self) {
-        let rate = self.s.get("clients.load") * self.s.capacity() / self.s.mean_work().max(1e-6);
-        let (swing, every) = (self.s.get("clients.swing"), self.s.span("clients.swing-every").secs());
-        let keys = self.s.get("clients.keys");
-        let zipf = Zipf::new(keys, self.s.get("clients.skew")).ok();
-        let shares: f64 = self.s.classes.iter().map(|class| class.get("share")).sum();
-        let sizes: Vec<Vec<(f64, f64)>> = self.s.classes.iter().map(|class| class.sizes()).collect();
-        let works: Vec<LogNormal<f64>> =
-            self.s.classes.iter().map(|c| unit_log_normal(c.get("spread"))).collect();
-        let most = rate * (1.0 + swing);
-        let mut at = 0.0;
-        loop {
-            // Thinning (Lewis and Shedler, 1979): drawn at the highest rate, kept as the present rate has it.
-            let uniform: f64 = self.clients.random();
-            at += -(1.0 - uniform).ln() / most.max(1e-9);
-            if at >= self.s.span("length").secs() {
-                break;
-            }
-            let present = rate * (1.0 + swing * (at / every * std::f64::consts::TAU).sin());
-            let keep: f64 = self.clients.random();
-            let (pick, size, work): (f64, f64, f64) =
-                (self.clients.random(), self.clients.random(), self.clients.random());
-            let key = zipf.as_ref().map_or(1.0, |zipf| zipf.sample(&mut self.clients)) as u64;
-            let zone = self.clients.random_range(0..self.zones.len());
-            if keep * most > present {
-                continue;
-            }
-            let mut rest = pick * shares;
-            let class = self.s.classes.iter().position(|class| {
-                rest -= class.get("share");
-                rest < 0.0
-            });
-            let class = class.unwrap_or(self.s.classes.len() - 1);
-            let mut rest = size;
-            let slots = sizes[class].iter().find(|(_, share)| {
-                rest -= share;
-                rest < 0.0
-            });
-            // The draw for the work was taken above, so that a class does not shift the draws of the next.
-            let spread =
-                works[class].sample(&mut stream(self.seed, Stream::Clients, (work * 9e15) as u64 | 1 << 60));
-            let asked = Time::from_ms(at * 1000.0);
-            self.calls.push(Call {
+        for Arrival { class, key, slots, work, asked, zone } in
+            arrivals(&self.s, self.seed, &mut self.clients)
+        {
+            let call = Call {
                 class,
                 key,
-                slots: slots.map_or(1.0, |slots| slots.0),
-                work: self.s.classes[class].get("work") / 1000.0 * spread,
+                slots,
+                work,
                 asked,
                 zone,
                 tries: 0,
@@ -388,7 +335,8 @@
                 seat: 0,
                 id: 0,
                 over: false,
-            });
+            };
+            self.calls.push(call);
             self.put(asked, What::Arrive(self.calls.len() - 1));
         }
     }
@@ -1175,14 +1123,8 @@
 
     fn begin_incident(&mut self, number: usize) {
         let incident = self.s.incidents[number];
-        let mut rng = stream(self.seed, Stream::Incident, number as u64);
         let of = if incident.trouble == Trouble::HostPause { self.seats.len() } else { self.machines.len() };
-        let mut all: Vec<usize> = (0..of).collect();
-        // The first of a shuffled list (Fisher and Yates).
-        for at in (1..all.len()).rev() {
-            all.swap(at, rng.random_range(0..=at));
-        }
-        all.truncate((incident.part * of as f64).round() as usize);
+        let all = hit(self.seed, number, incident.part, of);
         self.hit[number] = all.clone();
         let Incident { size, length, .. } = incident;
         match incident.trouble {
@@ -1207,6 +1149,8 @@
             }
             Trouble::Slow => self.each(number, |machine| machine.worker.slow *= size.max(1e-3)),
             Trouble::Neighbour => self.toggle(number, true),
+            // Scripts with these are not read for this stage.
+            Trouble::Slowed | Trouble::Kill | Trouble::Restart => return,
             Trouble::Pause => self.each(number, |machine| machine.worker.paused = true),
             Trouble::ReportsLate => self.late_reports = self.late_reports + size_span(size),
             Trouble::Resets => self.resets += size,
@@ -1235,14 +1179,8 @@
 
     /// Jobs that are yet to come cost more: drawn for each by its place, not by when it comes.
     fn make_costly(&mut self, incident: Incident) {
-        let until = self.now + incident.length;
-        let now = self.now;
         for (number, call) in self.calls.iter_mut().enumerate() {
-            let within = call.asked >= now && call.asked < until;
-            if within
-                && stream(self.seed, Stream::Incident, number as u64 | 1 << 40).random::<f64>()
-                    < incident.part
-            {
+            if is_costly(self.seed, number, call.asked, &incident) {
                 call.work *= incident.size;
             }
         }
@@ -1284,67 +1222,39 @@
             }
             Trouble::Neighbour => self.toggle(number, false),
             Trouble::Crash | Trouble::Silent | Trouble::Rolling | Trouble::Costly => {}
+            Trouble::Slowed | Trouble::Kill | Trouble::Restart => {}
         }
     }
 
     // The figures.
 
     fn report(&self, kind: Kind, seed: u64) -> Report {
-        let worth = |call: &Call| self.s.classes[call.class].get("worth");
-        let mut got = vec![0.0; self.calls.len()];
-        for (call, _, in_time, _) in &self.served {
-            got[*call] = if *in_time { worth(&self.calls[*call]) } else { 0.0 };
-        }
-        let part = |calls: &dyn Fn(&Call) -> bool| {
-            let of = self.calls.iter().zip(&got).filter(|(call, _)| calls(call));
-            let (asked, got) =
-                of.fold((0.0, 0.0), |(asked, sum), (call, got)| (asked + worth(call), sum + got));
-            if asked > 0.0 {
-                got / asked
-            } else {
-                1.0
-            }
-        };
-        let whole = part(&|_| true);
-        let length = self.s.span("goal.window-length");
-        let seconds = ((self.s.span("length") - length).secs().max(0.0)) as i64;
-        let windows: Vec<Window> = (0..=seconds)
-            .map(|second| {
-                let from = Time(second * 1_000_000);
-                let within = |call: &Call| call.asked >= from && call.asked < from + length;
-                Window { from_s: second as f64, service: part(&within) }
-            })
-            .collect();
-        let worst = windows.iter().map(|w| w.service).fold(1.0, f64::min);
-        let classes: Vec<ClassReport> = (0..self.s.classes.len())
-            .map(|class| {
-                let of_class = self.calls.iter().filter(|call| call.class == class);
-                let late = self.served.iter().filter(|s| self.calls[s.0].class == class && !s.2).count();
-                ClassReport {
-                    name: self.s.classes[class].name.clone(),
-                    jobs: of_class.count(),
-                    late,
-                    service: part(&|call| call.class == class),
-                }
-            })
-            .collect();
-        let worst_class = classes.iter().map(|c| c.service).fold(1.0, f64::min);
-        let goal = |name: &str| self.s.get(name);
-        let weights = goal("goal.whole") + goal("goal.window") + goal("goal.class");
-        let service =
-            goal("goal.whole") * whole + goal("goal.window") * worst + goal("goal.class") * worst_class;
+        let mut in_time = vec![false; self.calls.len()];
+        for (call, _, timely, _) in &self.served {
+            in_time[*call] = *timely;
+        }
+        let asked = self.calls.iter().zip(in_time);
+        let asked: Vec<Asked> =
+            asked.map(|(call, in_time)| Asked { class: call.class, at: call.asked, in_time }).collect();
+        let score = Score::of(&self.s, &asked);
+        let classes = self.s.classes.iter().enumerate().map(|(class, one)| ClassReport {
+            name: one.name.clone(),
+            jobs: asked.iter().filter(|job| job.class == class).count(),
+            late: self.served.iter().filter(|s| self.calls[s.0].class == class && !s.2).count(),
+            service: score.classes[class],
+        });
         let quantile = |q: f64| self.latency.value_at_quantile(q) as f64 / 1000.0;
         let broken: BTreeMap<String, u64> =
             RULES.iter().map(|rule: &Rule| (rule.name().to_owned(), self.checker.broken(*rule))).collect();
         Report {
             policy: kind.name().into(),
             seed,
-            service: service / weights.max(1e-9),
-            whole,
-            worst_window: worst,
-            worst_class,
-            windows,
-            classes,
+            service: score.service,
+            whole: score.whole,
+            worst_window: score.worst_window,
+            worst_class: score.worst_class,
+            windows: score.windows,
+            classes: classes.collect(),
             jobs: self.calls.len(),
             served: self.served.len(),
             refused: self.refused,
@@ -1369,26 +1279,6 @@
     }
 }
 
-/// Log-normal with the mean 1.
-fn unit_log_normal(cv: f64) -> LogNormal<f64> {
-    let variance = (1.0 + cv * cv).ln();
-    // Finite and not negative, so it holds; else everything is 1.
-    LogNormal::new(-variance / 2.0, variance.sqrt())
-        .unwrap_or_else(|_| LogNormal::new(0.0, 0.0).unwrap_or_else(|_| unreachable!("zero is a deviation")))
-}
-
 fn size_span(seconds: f64) -> Span {
     Span::from_ms(seconds * 1000.0)
 }
-
-/// Coefficient of variation.
-fn spread(values: &[f64]) -> f64 {
-    let count = values.len().max(1) as f64;
-    let mean = values.iter().sum::<f64>() / count;
-    let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / count;
-    if mean > 0.0 {
-        variance.sqrt() / mean
-    } else {
-        0.0
-    }
-}
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use rookspoke_decisions::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::scenario::Scenario;
+
 /// A stretch of a run.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Window {
@@ -26,6 +29,72 @@
     pub service: f64,
 }
 
+/// A job that was asked for, and whether it was answered in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// Its class, by its place in the scenario.
+    pub class: usize,
+    /// When its client first meant to send it.
+    pub at: Time,
+    /// Answered in time.
+    pub in_time: bool,
+}
+
+/// The service figure and its parts, each 0 to 1.
+#[derive(Clone, Debug)]
+pub struct Score {
+    /// Whole run, worst window and worst class, weighed as the scenario says.
+    pub service: f64,
+    /// Of the whole run.
+    pub whole: f64,
+    /// Of the worst window.
+    pub worst_window: f64,
+    /// Of the worst class.
+    pub worst_class: f64,
+    /// Every window, a second apart.
+    pub windows: Vec<Window>,
+    /// Every class.
+    pub classes: Vec<f64>,
+}
+
+impl Score {
+    /// The figures of a run: worth answered in time over worth asked for.
+    pub fn of(s: &Scenario, jobs: &[Asked]) -> Self {
+        let part = |of: &dyn Fn(&Asked) -> bool| {
+            let of = jobs.iter().filter(|job| of(job));
+            let (asked, got) = of.fold((0.0, 0.0), |(asked, got), job| {
+                let worth = s.classes[job.class].get("worth");
+                (asked + worth, if job.in_time { got + worth } else { got })
+            });
+            if asked > 0.0 {
+                got / asked
+            } else {
+                1.0
+            }
+        };
+        let whole = part(&|_| true);
+        let length = s.span("goal.window-length");
+        let seconds = ((s.span("length") - length).secs().max(0.0)) as i64;
+        let windows: Vec<Window> = (0..=seconds)
+            .map(|second| {
+                let from = Time(second * 1_000_000);
+                let within = |job: &Asked| job.at >= from && job.at < from + length;
+                Window { from_s: second as f64, service: part(&within) }
+            })
+            .collect();
+        let worst_window = windows.iter().map(|w| w.service).fold(1.0, f64::min);
+        let classes: Vec<f64> =
+            (0..s.classes.len()).map(|class| part(&|job: &Asked| job.class == class)).collect();
+        let worst_class = classes.iter().copied().fold(1.0, f64::min);
+        let goal = |name: &str| s.get(name);
+        let weights = goal("goal.whole") + goal("goal.window") + goal("goal.class");
+        let service = goal("goal.whole") * whole
+            + goal("goal.window") * worst_window
+            + goal("goal.class") * worst_class;
+        Score { service: service / weights.max(1e-9), whole, worst_window, worst_class, windows, classes }
+    }
+}
+
 /// What a run came to.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Report {
@@ -98,3 +167,15 @@
         1.0 - self.fetches as f64 / self.starts.max(1) as f64
     }
 }
+
+/// How unevenly something is spread: deviation over mean.
+pub fn spread(values: &[f64]) -> f64 {
+    let count = values.len().max(1) as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / count;
+    if mean > 0.0 {
+        variance.sqrt() / mean
+    } else {
+        0.0
+    }
+}
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -198,6 +198,12 @@
     Pause,
     /// Dispatchers stand still: what comes in the meantime is heard afterwards.
     HostPause,
+    /// Dispatchers stand still and go on by turns: `size` is the part of the time in which they run.
+    Slowed,
+    /// Dispatchers are killed, and start again after the length.
+    Kill,
+    /// Dispatchers are told to end and start again, one after another over the length.
+    Restart,
 }
 
 /// Every trouble by its name in scripts.
@@ -213,9 +219,93 @@
     ("discovery-gone", Trouble::DiscoveryGone),
     ("rolling", Trouble::Rolling),
     ("pause", Trouble::Pause),
+    ("stall", Trouble::HostPause),
     ("host-pause", Trouble::HostPause),
+    ("slowed", Trouble::Slowed),
+    ("kill", Trouble::Kill),
+    ("restart", Trouble::Restart),
 ];
 
+/// Who plays a script.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The emulator, in simulated time.
+    Emulator,
+    /// Real processes with links between them.
+    Processes,
+}
+
+impl Stage {
+    /// Whether incidents of this kind can be played here.
+    pub fn plays(self, trouble: Trouble) -> bool {
+        self == Stage::Processes || !matches!(trouble, Trouble::Slowed | Trouble::Kill | Trouble::Restart)
+    }
+
+    /// Whether this parameter means something here. Between processes the network is the system's own.
+    pub fn knows(self, parameter: &str) -> bool {
+        self == Stage::Emulator || !parameter.starts_with("net.") && parameter != "connection.turns"
+    }
+}
+
+/// Parties of a play, whose ways to each other can be disturbed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Party {
+    /// Whoever hands in jobs.
+    Clients,
+    /// Where the list of log workers comes from.
+    Discovery,
+    /// Dispatchers, of one zone or all.
+    Dispatchers(Option<usize>),
+    /// One dispatcher.
+    Dispatcher(usize),
+    /// Log workers, of one zone or all.
+    Workers(Option<usize>),
+    /// One log worker.
+    Worker(usize),
+}
+
+/// What is wrong with one direction of a way. The default is nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Faults {
+    /// Everything comes this much later.
+    pub delay: Span,
+    /// And up to this much later still, drawn for each piece.
+    pub jitter: Span,
+    /// Nothing comes through; connections stay open.
+    pub cut: bool,
+    /// New connections are refused.
+    pub refuse: bool,
+    /// Bytes a second that come through at most; 0 is as many as come.
+    pub rate: f64,
+    /// A connection is reset once this many bytes have passed; 0 is never.
+    pub reset_at: f64,
+    /// The part of datagrams that is lost.
+    pub loss: f64,
+    /// The part that comes twice.
+    pub duplicate: f64,
+    /// The part that comes after later ones.
+    pub reorder: f64,
+}
+
+/// A way that is disturbed for a time: from the first party to the second, and back only where it says so.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Disturbance {
+    /// From the start.
+    pub at: Span,
+    /// For how long.
+    pub length: Span,
+    /// The side that opens connections.
+    pub from: Party,
+    /// The side that accepts them.
+    pub to: Party,
+    /// The part of the second party that it concerns, drawn by the seed.
+    pub part: f64,
+    /// What goes from the first to the second.
+    pub there: Faults,
+    /// What comes back.
+    pub back: Faults,
+}
+
 /// One incident.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Incident {
@@ -240,6 +330,8 @@
     pub classes: Vec<Class>,
     /// What goes wrong, in the order of the script.
     pub incidents: Vec<Incident>,
+    /// Ways that are disturbed, in the order of the script.
+    pub disturbances: Vec<Disturbance>,
 }
 
 impl Default for Scenario {
@@ -260,7 +352,12 @@
         confirm.values.extend(own);
         let mut lookup = lookup;
         lookup.values.insert("worth", 2.0);
-        Scenario { values: defaults(PARAMS), classes: vec![lookup, confirm], incidents: Vec::new() }
+        Scenario {
+            values: defaults(PARAMS),
+            classes: vec![lookup, confirm],
+            incidents: Vec::new(),
+            disturbances: Vec::new(),
+        }
     }
 }
 
--- a/crates/emulator/tests/emulator.rs
+++ b/crates/emulator/tests/emulator.rs
@@ -1,15 +1,16 @@
 //! What the emulator has to show before anybody believes it.
 
-use rookspoke_lab::check::{Rule, RULES};
-use rookspoke_lab::experiment::{compare, play_all, set};
-use rookspoke_lab::model::play;
-use rookspoke_lab::policy::{Fault, Kind, Way, NAMED};
-use rookspoke_lab::report::Report;
-use rookspoke_lab::scenario::Scenario;
-use rookspoke_lab::script;
+use rookspoke_emulator::check::{Rule, RULES};
+use rookspoke_emulator::experiment::{compare, play_all, set};
+use rookspoke_emulator::model::play;
+use rookspoke_emulator::policy::{Fault, Kind, Way, NAMED};
+use rookspoke_emulator::report::Report;
+use rookspoke_emulator::scenario::{Scenario, Stage};
+use rookspoke_emulator::script;
 
 fn scenario(script: &str) -> Scenario {
-    script::read_text("test.lab", script).unwrap_or_else(|problems| panic!("{}", problems.render()))
+    script::read_text("test.lab", script, Stage::Emulator)
+        .unwrap_or_else(|problems| panic!("{}", problems.render()))
 }
 
 fn reports(script: &str, kind: Kind, seeds: std::ops::Range<u64>) -> Vec<Report> {
@@ -133,7 +134,36 @@
 fn a_script_that_makes_no_sense_is_told_with_its_lines() {
     let text = "workers 12\nwrokers 3\nlength 10s\nworker.order lifo\nclass a {\n effect twice\n wrok 1s\n}\n\
                 incident crsh at 3s\nincident crash at 20s\nincident crash for 3s\nincident slow at 1s size\n";
-    let problems = script::read_text("day.lab", text).expect_err("an error");
+    let problems = script::read_text("day.lab", text, Stage::Emulator).expect_err("an error");
     let lines: Vec<String> = problems.to_string().split("; ").map(str::to_owned).collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// One language for both stages: what one of them cannot play is told with its place.
+#[test]
+fn a_word_that_does_not_apply_to_a_stage_is_told_with_its_place() {
+    let told = |text: &str, stage| {
+        let problems = script::read_text("day.lab", text, stage).expect_err("an error");
+        problems.to_string()
+    };
+    let text = "dispatchers 2\nincident kill at 1s\nincident link at 1s for 2s from n0 to w0 cut";
+    insta::assert_snapshot!(
+        told(text, Stage::Emulator),
+        @"day.lab:2:10: found `kill`, which the emulator cannot play; `rehearse` plays it; day.lab:3:10: found `link`, which the emulator cannot play; `rehearse` plays it"
+    );
+    let text = "net.cross 3ms\nincident link at 1s for 2s from n9 to workers.z7 cut\n\
+                incident link at 1s for 2s from workers to n0 cut\nincident link at 1s from n0 to w0 loss 2\n\
+                incident link at 1s for 2s from n0 to w0 latency 2ms\nincident link at 1s for 1s from n0 to w0";
+    insta::assert_snapshot!(told(text, Stage::Processes).replace("; day", "\nday"), @r"
+    day.lab:1:1: found `net.cross`, which real processes cannot play; use `incident link`
+    day.lab:3:1: no way leads from the first to the second: clients speak to dispatchers, and dispatchers to discovery and to log workers
+    day.lab:4:40: found `2`, expected a number from 0 to 1
+    day.lab:5:42: found `latency`, expected `delay`, `jitter`, `cut`, `refuse`, `rate`, `reset-at`, `loss`, `duplicate` or `reorder`
+    day.lab:6:1: expected `delay`, `jitter`, `cut`, `refuse`, `rate`, `reset-at`, `loss`, `duplicate` or `reorder`
+    day.lab:2:1: found number 9 of the dispatchers, expected less than 3
+    ");
+    let both = "incident stall at 1s\nincident zone-cut at 2s";
+    for stage in [Stage::Emulator, Stage::Processes] {
+        assert_eq!(script::read_text("day.lab", both, stage).expect("it is read").incidents.len(), 2);
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,18 +1,21 @@
 //! Plays scenarios: one run, several policies side by side, sweeps, and comparisons of what was kept.
 
+mod demo;
+mod stage;
+
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
 use clap::{Args, Parser, Subcommand};
-use rookspoke_lab::experiment::{compare, figure, play_all, set};
-use rookspoke_lab::journal;
-use rookspoke_lab::policy::{Kind, NAMED};
-use rookspoke_lab::report::Report;
-use rookspoke_lab::scenario::{Scenario, CLASS_PARAMS, PARAMS, TROUBLES};
-use rookspoke_lab::script;
-use rookspoke_lab::{paper, plot};
+use rookspoke_emulator::experiment::{compare, figure, play_all, set};
+use rookspoke_emulator::journal;
+use rookspoke_emulator::policy::{Kind, NAMED};
+use rookspoke_emulator::report::Report;
+use rookspoke_emulator::scenario::{Scenario, Stage, CLASS_PARAMS, PARAMS, TROUBLES};
+use rookspoke_emulator::script;
+use rookspoke_emulator::{paper, plot};
 
 /// Rehearses incidents of the fleet in simulated time.
 #[derive(Debug, Parser)]
@@ -41,6 +44,14 @@
         #[arg(long)]
         windows: bool,
     },
+    /// Play a script with real dispatchers, each a process, and stand-ins for all that they meet
+    Rehearse(stage::Rehearse),
+    /// Start a fleet, dispatchers and load, break something, and show how it goes: under 30 s
+    Demo(demo::Demo),
+    /// Start log workers and discovery alone, for dispatchers that are started by hand
+    Fleet(stage::Fleet),
+    /// Hand in jobs at dispatchers that run, over a fleet of `fleet`
+    Load(stage::Clients),
     /// Play a scenario for each value of a parameter
     Sweep {
         #[command(flatten)]
@@ -103,20 +114,27 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Run { what, out, html, svg, windows } => run(&what, &Files { out, html, svg }, windows),
-        Command::Sweep { what, over } => sweep(&what, &over),
-        Command::Compare { before, after } => compare_files(&before, &after),
-        Command::Paper { seeds } => paper(seeds),
+        Command::Rehearse(what) => stage::rehearse(&what),
+        Command::Demo(what) => demo::run(&what),
+        Command::Fleet(what) => stage::fleet(&what),
+        Command::Load(what) => stage::load(&what),
+        Command::Run { what, out, html, svg, windows } => {
+            run(&what, &Files { out, html, svg }, windows).map(|()| 0)
+        }
+        Command::Sweep { what, over } => sweep(&what, &over).map(|()| 0),
+        Command::Compare { before, after } => compare_files(&before, &after).map(|()| 0),
+        Command::Paper { seeds } => paper(seeds).map(|()| 0),
         Command::Journal { folder } => journal::read(&folder)
             .map(|journal| say(&journal::tell(&journal)))
+            .map(|()| 0)
             .map_err(|error| error.to_string()),
         Command::Words => {
             say(&words());
-            Ok(())
+            Ok(0)
         }
     };
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => ExitCode::from(code),
         Err(text) => {
             let _ = writeln!(std::io::stderr(), "rookspoke-lab: {}", text.trim_end());
             ExitCode::from(BAD_INPUT)
@@ -132,7 +150,7 @@
 impl What {
     fn scenario(&self) -> Result<Scenario, String> {
         let mut scenario = match &self.script {
-            Some(path) => script::read(path).map_err(|problems| problems.render())?,
+            Some(path) => script::read(path, Stage::Emulator).map_err(|problems| problems.render())?,
             None => Scenario::default(),
         };
         for (name, value) in &self.set {
--- /dev/null
+++ b/crates/rig/src/judge.rs
@@ -0,0 +1,365 @@
+//! Judges: they hold what was seen from outside against the rules, and never ask a dispatcher.
+
+use std::collections::{HashMap, HashSet};
+
+use rookspoke_decisions::{Span, Time};
+use serde::Serialize;
+
+use crate::job::JobId;
+use crate::seen::{End, Life, Seen};
+
+/// Something that must hold all the time.
+pub trait Invariant: Send {
+    /// Its name in reports.
+    fn name(&self) -> &str;
+    /// Hears what was seen, in order; says what it breaks.
+    fn sees(&mut self, at: Time, seen: &Seen) -> Option<String>;
+    /// The play is over: what is still owed?
+    fn closes(&mut self, _at: Time) -> Vec<String> {
+        Vec::new()
+    }
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    /// When, in milliseconds from the start.
+    pub at_ms: f64,
+    /// The rule.
+    pub rule: String,
+    /// What happened.
+    pub what: String,
+    /// The lines of the timeline before it.
+    pub around: Vec<String>,
+}
+
+/// The rules' times.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowed {
+    /// How long after the deadline an answer counts.
+    pub answer: Span,
+    /// How long sends to a log worker go on after its drain was told.
+    pub drain: Span,
+}
+
+/// The four rules, and that a daemon's figures are true.
+pub fn all(allowed: Allowed) -> Vec<Box<dyn Invariant>> {
+    vec![
+        Box::new(OneAnswer::new(allowed.answer)),
+        Box::new(NoDuplicate::default()),
+        Box::new(CleanDrain::new(allowed.drain)),
+        Box::new(GentleStart),
+        Box::new(TrueFigures),
+        Box::new(NoCrash),
+    ]
+}
+
+/// Dispatchers that were out, and when last: what they held then is nobody's fault but of who stopped them.
+#[derive(Default)]
+struct Outages(HashMap<usize, (Option<Time>, Time)>);
+
+impl Outages {
+    fn sees(&mut self, at: Time, seen: &Seen) {
+        let Seen::Dispatcher { dispatcher, life } = seen else { return };
+        let one = self.0.entry(*dispatcher).or_insert((None, Time(i64::MIN)));
+        match life {
+            Life::Terminated | Life::Killed | Life::Ended | Life::Stopped | Life::Crashed => {
+                *one = (one.0.or(Some(at)), at)
+            }
+            Life::Ready | Life::Resumed => *one = (None, at),
+            Life::Started => {}
+        }
+    }
+
+    /// Whether a dispatcher was out at any time since.
+    fn since(&self, dispatcher: usize, since: Time) -> bool {
+        self.0.get(&dispatcher).is_some_and(|(now, last)| now.is_some() || *last >= since)
+    }
+}
+
+/// Each job that was taken gets one final answer, in time.
+pub struct OneAnswer {
+    slack: Span,
+    open: HashMap<u64, (usize, Time, Time)>,
+    outages: Outages,
+}
+
+impl OneAnswer {
+    /// With this slack after the deadline.
+    pub fn new(slack: Span) -> Self {
+        OneAnswer { slack, open: HashMap::new(), outages: Outages::default() }
+    }
+}
+
+impl Invariant for OneAnswer {
+    fn name(&self) -> &str {
+        "one answer"
+    }
+
+    fn sees(&mut self, at: Time, seen: &Seen) -> Option<String> {
+        self.outages.sees(at, seen);
+        match seen {
+            Seen::Sent { id, dispatcher, deadline_ms, .. } => {
+                self.open.insert(*id, (*dispatcher, at, Time::from_ms(*deadline_ms)));
+                None
+            }
+            Seen::Closed { id, end, .. } => {
+                let id = *id;
+                let Some((dispatcher, sent, deadline)) = self.open.remove(&id) else {
+                    return Some(format!("job {} ended twice", JobId(id)));
+                };
+                let what = match end {
+                    End::Unreached => return None,
+                    End::Lost => "was lost with its connection",
+                    End::GivenUp => "got no answer",
+                    End::Served | End::Refused | End::Failed if at > deadline + self.slack => {
+                        "was answered after its deadline"
+                    }
+                    End::Served | End::Refused | End::Failed => return None,
+                };
+                let excused = self.outages.since(dispatcher, sent);
+                (!excused).then(|| format!("job {} of n{dispatcher} {what}", JobId(id)))
+            }
+            _ => None,
+        }
+    }
+
+    fn closes(&mut self, _: Time) -> Vec<String> {
+        let all = self.open.drain().map(|(id, (of, ..))| format!("job {} of n{of} has no end", JobId(id)));
+        all.collect()
+    }
+}
+
+/// What may have run and must never run twice is not sent again, and not called harmless.
+#[derive(Default)]
+pub struct NoDuplicate {
+    once: HashSet<u64>,
+    /// Attempts that reached a log worker, less those turned away.
+    may_have_run: HashMap<u64, i32>,
+}
+
+impl Invariant for NoDuplicate {
+    fn name(&self) -> &str {
+        "no duplicate"
+    }
+
+    fn sees(&mut self, _: Time, seen: &Seen) -> Option<String> {
+        match seen {
+            Seen::Sent { id, once: true, .. } => drop(self.once.insert(*id)),
+            Seen::Reached { id, worker } if self.once.contains(id) => {
+                let runs = self.may_have_run.entry(*id).or_default();
+                *runs += 1;
+                if *runs > 1 {
+                    return Some(format!("job {} must not run twice and reached w{worker} too", JobId(*id)));
+                }
+            }
+            Seen::Away { id, .. } => {
+                if let Some(runs) = self.may_have_run.get_mut(id) {
+                    *runs -= 1;
+                }
+            }
+            Seen::Closed { id, end, .. } if self.once.contains(id) => {
+                let ran = self.may_have_run.get(id).is_some_and(|runs| *runs > 0);
+                if *end == End::Refused && ran {
+                    return Some(format!("job {} may have run and was refused", JobId(*id)));
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+}
+
+/// Nothing new reaches a log worker longer than the grace after its dispatcher was told that it takes none.
+pub struct CleanDrain {
+    grace: Span,
+    told: HashMap<(usize, usize), Time>,
+}
+
+impl CleanDrain {
+    /// With this grace; what links add on the way is to be added to it.
+    pub fn new(grace: Span) -> Self {
+        CleanDrain { grace, told: HashMap::new() }
+    }
+}
+
+impl Invariant for CleanDrain {
+    fn name(&self) -> &str {
+        "clean drain"
+    }
+
+    fn sees(&mut self, at: Time, seen: &Seen) -> Option<String> {
+        match seen {
+            Seen::Told { dispatcher, worker, takes: true } => drop(self.told.remove(&(*dispatcher, *worker))),
+            Seen::Told { dispatcher, worker, takes: false } => {
+                self.told.entry((*dispatcher, *worker)).or_insert(at);
+            }
+            // A new process knows only what it is told itself.
+            Seen::Dispatcher { dispatcher, life: Life::Started } => {
+                self.told.retain(|(of, _), _| of != dispatcher);
+            }
+            Seen::Reached { id, worker } => {
+                let dispatcher = JobId(*id).dispatcher();
+                let since = self.told.get(&(dispatcher, *worker))?;
+                if at - *since > self.grace {
+                    let late = (at - *since).ms();
+                    return Some(format!("n{dispatcher} sent to w{worker}, told {late:.0} ms before"));
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+}
+
+/// No cold log worker is pushed over by those who know that it is cold.
+pub struct GentleStart;
+
+impl Invariant for GentleStart {
+    fn name(&self) -> &str {
+        "gentle start"
+    }
+
+    fn sees(&mut self, _: Time, seen: &Seen) -> Option<String> {
+        match seen {
+            Seen::Fell { worker, told: true } => Some(format!("w{worker} was pushed over")),
+            _ => None,
+        }
+    }
+}
+
+/// What a dispatcher says of itself is what was seen of it.
+pub struct TrueFigures;
+
+impl Invariant for TrueFigures {
+    fn name(&self) -> &str {
+        "true figures"
+    }
+
+    fn sees(&mut self, _: Time, seen: &Seen) -> Option<String> {
+        match seen {
+            Seen::Figure { dispatcher, name, says, counted } if says != counted => {
+                Some(format!("n{dispatcher} says {name} {says}, clients counted {counted}"))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// No dispatcher ends unless it is told to.
+pub struct NoCrash;
+
+impl Invariant for NoCrash {
+    fn name(&self) -> &str {
+        "no crash"
+    }
+
+    fn sees(&mut self, _: Time, seen: &Seen) -> Option<String> {
+        match seen {
+            Seen::Dispatcher { dispatcher, life: Life::Crashed } => {
+                Some(format!("n{dispatcher} ended by itself"))
+            }
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ALLOWED: Allowed = Allowed { answer: Span(66_000), drain: Span(550_000) };
+
+    fn sent(id: u64, once: bool) -> Seen {
+        Seen::Sent { id, dispatcher: 0, once, deadline_ms: 1000.0 }
+    }
+
+    fn closed(id: u64, end: End) -> Seen {
+        Seen::Closed { id, dispatcher: 0, end }
+    }
+
+    /// What breaks, by rule, when this is seen, each at its millisecond.
+    fn broken(story: &[(i64, Seen)]) -> Vec<String> {
+        let mut judges = all(ALLOWED);
+        let mut rules = Vec::new();
+        for (ms, seen) in story {
+            for judge in &mut judges {
+                rules.extend(judge.sees(Time(ms * 1000), seen).map(|_| judge.name().to_owned()));
+            }
+        }
+        for judge in &mut judges {
+            rules.extend(judge.closes(Time(1 << 40)).into_iter().map(|_| judge.name().to_owned()));
+        }
+        rules
+    }
+
+    #[test]
+    fn each_job_is_owed_one_answer_in_time() {
+        let life = |life| Seen::Dispatcher { dispatcher: 0, life };
+        assert!(broken(&[(0, sent(1, false)), (1066, closed(1, End::Served))]).is_empty());
+        let cases = [
+            vec![(0, sent(1, false)), (1067, closed(1, End::Served))],
+            vec![(0, sent(1, false)), (5, closed(1, End::Lost))],
+            vec![(0, sent(1, false)), (1070, closed(1, End::GivenUp))],
+            vec![(0, sent(1, false)), (5, closed(1, End::Failed)), (6, closed(1, End::Served))],
+            vec![(0, sent(1, false))],
+            // It was out before the job came, and is up.
+            vec![
+                (0, life(Life::Stopped)),
+                (5, life(Life::Resumed)),
+                (6, sent(1, false)),
+                (7, closed(1, End::Lost)),
+            ],
+        ];
+        for story in cases {
+            assert_eq!(broken(&story), ["one answer"], "{story:?}");
+        }
+        let killed = [(0, sent(1, false)), (4, life(Life::Killed)), (5, closed(1, End::Lost))];
+        assert!(broken(&killed).is_empty(), "whoever killed it is to blame");
+    }
+
+    #[test]
+    fn what_may_have_run_is_neither_sent_again_nor_refused() {
+        let reached = |id| Seen::Reached { id, worker: 2 };
+        let away = |id| Seen::Away { id, worker: 2 };
+        let end = |end| (9, closed(1, end));
+        let twice = |once| vec![(0, sent(1, once)), (1, reached(1)), (2, reached(1)), end(End::Served)];
+        assert_eq!(broken(&twice(true)), ["no duplicate"]);
+        assert!(broken(&twice(false)).is_empty());
+        let refused = vec![(0, sent(1, true)), (1, reached(1)), end(End::Refused)];
+        assert_eq!(broken(&refused), ["no duplicate"]);
+        let story = vec![
+            (0, sent(1, true)),
+            (1, reached(1)),
+            (2, away(1)),
+            (3, reached(1)),
+            (4, away(1)),
+            end(End::Refused),
+        ];
+        assert!(broken(&story).is_empty(), "it never ran");
+    }
+
+    #[test]
+    fn the_first_word_of_a_drain_counts_and_a_new_process_knows_nothing_of_it() {
+        let told = |takes| Seen::Told { dispatcher: 0, worker: 2, takes };
+        let job = |at| {
+            vec![(at, sent(1, false)), (at, Seen::Reached { id: 1, worker: 2 }), (at, closed(1, End::Served))]
+        };
+        let story = |rest| [vec![(0, told(false)), (300, told(false))], rest].concat();
+        assert!(broken(&story(job(550))).is_empty());
+        assert_eq!(broken(&story(job(551))), ["clean drain"]);
+        assert!(broken(&[story(vec![(400, told(true))]), job(900)].concat()).is_empty());
+        let again = (500, Seen::Dispatcher { dispatcher: 0, life: Life::Started });
+        assert!(broken(&[story(vec![again]), job(900)].concat()).is_empty());
+    }
+
+    #[test]
+    fn falls_figures_and_ends_are_judged() {
+        assert_eq!(broken(&[(0, Seen::Fell { worker: 1, told: true })]), ["gentle start"]);
+        assert!(broken(&[(0, Seen::Fell { worker: 1, told: false })]).is_empty());
+        let figure = |says| (0, Seen::Figure { dispatcher: 0, name: "passed", says, counted: 4 });
+        assert_eq!((broken(&[figure(4)]).len(), broken(&[figure(5)])), (0, vec!["true figures".to_owned()]));
+        let crash = Seen::Dispatcher { dispatcher: 0, life: Life::Crashed };
+        assert_eq!(broken(&[(0, crash)]), ["no crash"]);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,22 @@
+//! A rig that rehearses incidents with the real program: it starts dispatchers by the hundred as processes, gives
+//! them stand-ins for log workers, discovery and clients, leads what passes between them through links that can be
+//! broken, and judges what comes of it from outside.
+//!
+//! It is for tests and for the laboratory's tool, and no part of the daemon. What a log worker does is the emulator's
+//! own model, and what clients ask for is the emulator's own draw, so a scenario and a seed mean the same in both.
+
+pub mod ask;
+pub mod clock;
+pub mod dispatcher;
+pub mod job;
+pub mod judge;
+pub mod keeper;
+pub mod link;
+pub mod load;
+pub mod places;
+pub mod plant;
+pub mod play;
+pub mod registry;
+pub mod seen;
+mod serve;
+pub mod ways;
--- /dev/null
+++ b/crates/rig/src/registry.rs
@@ -0,0 +1,338 @@
+//! Discovery on sockets, by the published calls and watches: it tells late, refuses, falls silent, or tells old lists.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use rookspoke_decisions::{Span, Time};
+use rookspoke_emulator::rng::{stream, Stream};
+use rookspoke_emulator::scenario::Scenario;
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+use tokio::sync::{broadcast, mpsc, watch};
+
+use crate::plant::name;
+use crate::seen::{Seen, Watch};
+use crate::serve::{plain, Reset, Said, Told};
+
+/// As long as nothing changes, a watch says so this often.
+const EMPTY_EVERY: Duration = Duration::from_secs(2);
+/// Changes that a watch may be behind; one that is further behind ends, and its dispatcher asks anew.
+const BEHIND: usize = 1024;
+
+/// What discovery sees of a log worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// It takes work, and started then; none is long ago.
+    Active(Option<Time>),
+    /// It wants nothing new.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// How discovery is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should be.
+    Works,
+    /// Calls are answered 503, and watches have ended.
+    Refuses,
+    /// Calls are taken and nothing is answered; watches stay open and say nothing.
+    Silent,
+    /// It goes on telling the list as it was when this began.
+    Old,
+}
+
+struct State {
+    view: Vec<View>,
+    /// Starts of processes, kept through a drain.
+    started: Vec<Option<Time>>,
+    rev: u64,
+    /// The list that is told while it is old.
+    old: Option<(u64, Vec<View>)>,
+    /// When the next call can be served.
+    free: Time,
+    /// What was last written to each dispatcher.
+    told: HashMap<(usize, usize), View>,
+    told_start: HashMap<(usize, usize), Time>,
+}
+
+struct Inner {
+    s: Scenario,
+    seed: u64,
+    watch: Watch,
+    state: Mutex<State>,
+    mode: watch::Sender<Mode>,
+    changes: broadcast::Sender<(u64, usize, View)>,
+    /// Where each group of dispatchers reaches each log worker.
+    ways: Vec<Vec<SocketAddr>>,
+    /// The group of each dispatcher.
+    groups: Vec<usize>,
+}
+
+/// Discovery. Clones are the same.
+#[derive(Clone)]
+pub struct Registry(Arc<Inner>);
+
+impl Registry {
+    /// Discovery of a scenario's log workers; `ways` holds, for each group of dispatchers, where it reaches each of
+    /// them, and `groups` the group of each dispatcher.
+    pub fn new(
+        s: &Scenario,
+        seed: u64,
+        watch: Watch,
+        ways: Vec<Vec<SocketAddr>>,
+        groups: Vec<usize>,
+    ) -> Self {
+        let workers = s.count("workers");
+        let state = State {
+            view: vec![View::Active(None); workers],
+            started: vec![None; workers],
+            rev: 1,
+            old: None,
+            free: Time(0),
+            told: HashMap::new(),
+            told_start: HashMap::new(),
+        };
+        let mode = watch::Sender::new(Mode::Works);
+        let changes = broadcast::Sender::new(BEHIND);
+        Registry(Arc::new(Inner {
+            s: s.clone(),
+            seed,
+            watch,
+            state: Mutex::new(state),
+            mode,
+            changes,
+            ways,
+            groups,
+        }))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves a dispatcher, which asks at a listener of its own.
+    pub fn serve(&self, dispatcher: usize, listener: TcpListener) {
+        let registry = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    continue;
+                };
+                let _ = stream.set_nodelay(true);
+                let registry = registry.clone();
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        let registry = registry.clone();
+                        async move { Ok::<_, Infallible>(registry.answer(dispatcher, request).await) }
+                    });
+                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+    }
+
+    /// Discovery sees this of a log worker in a while, and tells it then.
+    pub fn notices(&self, after: Span, worker: usize, view: View) {
+        let registry = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_micros(after.0.max(0) as u64)).await;
+            registry.sees(worker, view);
+        });
+    }
+
+    /// Discovery sees this of a log worker.
+    pub fn sees(&self, worker: usize, view: View) {
+        let mut state = self.state();
+        state.view[worker] = view;
+        if let View::Active(started) = view {
+            state.started[worker] = started;
+        }
+        state.rev += 1;
+        let _ = self.0.changes.send((state.rev, worker, view));
+    }
+
+    /// Changes how discovery is.
+    pub fn set(&self, mode: Mode) {
+        let mut state = self.state();
+        state.old = (mode == Mode::Old).then(|| (state.rev, state.view.clone()));
+        self.0.mode.send_replace(mode);
+    }
+
+    /// A dispatcher's process is new, and was told nothing yet.
+    pub fn forgets(&self, dispatcher: usize) {
+        let mut state = self.state();
+        state.told.retain(|(of, _), _| *of != dispatcher);
+        state.told_start.retain(|(of, _), _| *of != dispatcher);
+    }
+
+    /// The start of a log worker's process, as this dispatcher was last told.
+    pub fn told_start(&self, dispatcher: usize, worker: usize) -> Option<Time> {
+        self.state().told_start.get(&(dispatcher, worker)).copied()
+    }
+
+    /// The whole list as it is, for a dispatcher that remembers it from before its start.
+    pub fn known(&self, dispatcher: usize) -> Value {
+        let state = self.state();
+        self.whole(&state, dispatcher, state.rev, &state.view.clone())
+    }
+
+    fn whole(&self, state: &State, dispatcher: usize, rev: u64, view: &[View]) -> Value {
+        let here = view.iter().enumerate().filter(|(_, view)| **view != View::Gone);
+        let targets: Vec<Value> = here.map(|(w, view)| self.entry(state, dispatcher, w, *view)).collect();
+        json!({"rev": rev, "all": true, "targets": targets})
+    }
+
+    fn entry(&self, state: &State, dispatcher: usize, worker: usize, view: View) -> Value {
+        let zones = self.0.s.count("zones");
+        let started = match view {
+            View::Active(started) => started,
+            View::Draining | View::Gone => state.started[worker],
+        };
+        let boot_ms = started.map_or(0, |at| self.0.watch.clock().unix_ms(at));
+        json!({
+            "uid": name(worker), "endpoint": self.0.ways[self.0.groups[dispatcher]][worker],
+            "az": format!("z{}", worker % zones), "model": "std", "pod_group": worker / 8,
+            "state": match view { View::Active(_) => "active", View::Draining => "leaving", View::Gone => "left" },
+            "capacity_hint": 1.0, "boot_ms": boot_ms,
+        })
+    }
+
+    /// What is written to a dispatcher here.
+    fn writes(&self, state: &mut State, dispatcher: usize, worker: usize, view: View) {
+        let before = state.told.insert((dispatcher, worker), view).unwrap_or(View::Active(None));
+        if let View::Active(Some(started)) = view {
+            state.told_start.insert((dispatcher, worker), started);
+        }
+        let takes = |view| matches!(view, View::Active(_));
+        if takes(before) != takes(view) {
+            self.0.watch.sees(Seen::Told { dispatcher, worker, takes: takes(view) });
+        }
+    }
+
+    /// The whole list, written to a dispatcher now.
+    fn write_whole(&self, dispatcher: usize) -> (u64, String) {
+        let mut state = self.state();
+        let (rev, view) = state.old.clone().unwrap_or_else(|| (state.rev, state.view.clone()));
+        for (worker, view) in view.iter().enumerate() {
+            self.writes(&mut state, dispatcher, worker, *view);
+        }
+        (rev, format!("{}\n", self.whole(&state, dispatcher, rev, &view)))
+    }
+
+    fn write_change(&self, dispatcher: usize, rev: u64, worker: usize, view: View) -> String {
+        let mut state = self.state();
+        self.writes(&mut state, dispatcher, worker, view);
+        let targets = [self.entry(&state, dispatcher, worker, view)];
+        format!("{}\n", json!({"rev": rev, "all": false, "targets": targets}))
+    }
+
+    async fn answer(&self, dispatcher: usize, request: Request<Incoming>) -> Response<Told> {
+        if request.uri().path() != "/registry/instances" {
+            return plain(StatusCode::NOT_FOUND, "");
+        }
+        let watches = request.uri().query().is_some_and(|query| query.contains("watch=1"));
+        if !self.its_turn().await {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
+        if !watches {
+            return plain(StatusCode::OK, self.write_whole(dispatcher).1);
+        }
+        let (say, said) = mpsc::channel(16);
+        let registry = self.clone();
+        tokio::spawn(async move { registry.follow(dispatcher, say).await });
+        Response::new(Told::new(said, || {}))
+    }
+
+    /// Calls wait in turn; one that would wait for too long fails.
+    async fn its_turn(&self) -> bool {
+        let mut mode = self.0.mode.subscribe();
+        let timeout = self.0.s.span("discovery.timeout");
+        if mode.wait_for(|mode| *mode != Mode::Silent).await.is_err() || *mode.borrow() == Mode::Refuses {
+            return false;
+        }
+        let clock = self.0.watch.clock();
+        let served = {
+            let mut state = self.state();
+            let served =
+                state.free.max(clock.now()) + Span::from_ms(1000.0 / self.0.s.get("discovery.calls"));
+            if served - clock.now() > timeout {
+                None
+            } else {
+                state.free = served;
+                Some(served)
+            }
+        };
+        match served {
+            Some(served) => {
+                clock.sleep_until(served).await;
+                true
+            }
+            None => {
+                tokio::time::sleep(Duration::from_micros(timeout.0.max(0) as u64)).await;
+                false
+            }
+        }
+    }
+
+    /// Tells a watch what changes, until nobody listens or discovery goes down.
+    async fn follow(&self, dispatcher: usize, say: mpsc::Sender<Said>) {
+        let mut changes = self.0.changes.subscribe();
+        let mut mode = self.0.mode.subscribe();
+        let mut rng = stream(self.0.seed, Stream::Discovery, dispatcher as u64);
+        let spread = self.0.s.span("discovery.spread").0.max(1);
+        // Subscribed before the list is read: a change is told twice rather than never.
+        let (mut held, mut line) = self.write_whole(dispatcher);
+        loop {
+            if say.send(Ok(Bytes::from(line))).await.is_err() {
+                return;
+            }
+            line = loop {
+                let now = *mode.borrow_and_update();
+                match now {
+                    Mode::Refuses => return drop(say.send(Err(Reset)).await),
+                    Mode::Silent => {
+                        let _ = mode.changed().await;
+                        // What changed in the meantime comes with the whole list.
+                        if *mode.borrow() != Mode::Silent {
+                            let (rev, whole) = self.write_whole(dispatcher);
+                            held = rev;
+                            break whole;
+                        }
+                        continue;
+                    }
+                    Mode::Works | Mode::Old => {}
+                }
+                tokio::select! {
+                    changed = mode.changed() => if changed.is_err() { return },
+                    change = changes.recv() => match change {
+                        Ok((rev, worker, view)) if rev > held && now == Mode::Works => {
+                            held = rev;
+                            let late = rng.random_range(0..=spread) as u64;
+                            tokio::time::sleep(Duration::from_micros(late)).await;
+                            if *mode.borrow() == Mode::Works {
+                                break self.write_change(dispatcher, rev, worker, view);
+                            }
+                        }
+                        Ok(_) => {}
+                        Err(_) => return drop(say.send(Err(Reset)).await),
+                    },
+                    () = tokio::time::sleep(EMPTY_EVERY) => break "\n".into(),
+                    () = say.closed() => return,
+                }
+            };
+        }
+    }
+}
