--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -1150,7 +1150,11 @@
             Trouble::Slow => self.each(number, |machine| machine.worker.slow *= size.max(1e-3)),
             Trouble::Neighbour => self.toggle(number, true),
             // Scripts with these are not read for this stage.
-            Trouble::Slowed | Trouble::Kill | Trouble::Restart => return,
+            Trouble::DiscoverySilent
+            | Trouble::DiscoveryOld
+            | Trouble::Slowed
+            | Trouble::Kill
+            | Trouble::Restart => return,
             Trouble::Pause => self.each(number, |machine| machine.worker.paused = true),
             Trouble::ReportsLate => self.late_reports = self.late_reports + size_span(size),
             Trouble::Resets => self.resets += size,
@@ -1222,7 +1226,11 @@
             }
             Trouble::Neighbour => self.toggle(number, false),
             Trouble::Crash | Trouble::Silent | Trouble::Rolling | Trouble::Costly => {}
-            Trouble::Slowed | Trouble::Kill | Trouble::Restart => {}
+            Trouble::DiscoverySilent
+            | Trouble::DiscoveryOld
+            | Trouble::Slowed
+            | Trouble::Kill
+            | Trouble::Restart => {}
         }
     }
 
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -198,6 +198,10 @@
     Pause,
     /// Dispatchers stand still: what comes in the meantime is heard afterwards.
     HostPause,
+    /// Discovery takes calls and answers nothing; its watches stay open.
+    DiscoverySilent,
+    /// Discovery goes on telling the list as it was.
+    DiscoveryOld,
     /// Dispatchers stand still and go on by turns: `size` is the part of the time in which they run.
     Slowed,
     /// Dispatchers are killed, and start again after the length.
@@ -221,6 +225,8 @@
     ("pause", Trouble::Pause),
     ("stall", Trouble::HostPause),
     ("host-pause", Trouble::HostPause),
+    ("discovery-silent", Trouble::DiscoverySilent),
+    ("discovery-old", Trouble::DiscoveryOld),
     ("slowed", Trouble::Slowed),
     ("kill", Trouble::Kill),
     ("restart", Trouble::Restart),
@@ -238,7 +244,7 @@
 impl Stage {
     /// Whether incidents of this kind can be played here.
     pub fn plays(self, trouble: Trouble) -> bool {
-        self == Stage::Processes || !matches!(trouble, Trouble::Slowed | Trouble::Kill | Trouble::Restart)
+        self == Stage::Processes || !trouble.needs_processes()
     }
 
     /// Whether this parameter means something here. Between processes the network is the system's own.
@@ -247,6 +253,14 @@
     }
 }
 
+impl Trouble {
+    /// Whether the emulator has nothing that could suffer it.
+    pub fn needs_processes(self) -> bool {
+        use Trouble::{DiscoveryOld, DiscoverySilent, Kill, Restart, Slowed};
+        matches!(self, DiscoverySilent | DiscoveryOld | Slowed | Kill | Restart)
+    }
+}
+
 /// Parties of a play, whose ways to each other can be disturbed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Party {
--- a/crates/emulator/src/script.rs
+++ b/crates/emulator/src/script.rs
@@ -343,6 +343,7 @@
         Trouble::Rolling => (30_000.0, 1.0, 3.0),
         Trouble::Pause => (2_000.0, 0.25, 0.0),
         Trouble::HostPause => (3_000.0, 0.5, 0.0),
+        Trouble::DiscoverySilent | Trouble::DiscoveryOld => (15_000.0, 1.0, 0.0),
         Trouble::Slowed => (10_000.0, 0.25, 0.5),
         Trouble::Kill => (2_000.0, 0.5, 0.0),
         Trouble::Restart => (20_000.0, 1.0, 0.0),
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -41,6 +41,8 @@
     /// The front has it in.
     pub in_front: AtomicBool,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    /// Counts its processes.
+    epoch: AtomicU64,
     /// How many jobs ended so, as clients saw it.
     served: AtomicU64,
     unclear: AtomicU64,
@@ -53,6 +55,7 @@
             address: Mutex::default(),
             in_front: AtomicBool::new(false),
             idle: Mutex::default(),
+            epoch: AtomicU64::new(0),
             served: AtomicU64::new(0),
             unclear: AtomicU64::new(0),
         }
@@ -61,14 +64,19 @@
     /// One that the front has in, at this address.
     pub fn at(address: SocketAddr) -> Self {
         let seat = Seat::new();
-        seat.is_new(address);
-        seat.in_front.store(true, Ordering::Relaxed);
+        seat.takes(address);
         seat
     }
 
-    /// A new process: connections to the last one lead nowhere, and counts begin anew.
-    pub fn is_new(&self, address: SocketAddr) {
+    /// The front has it in, at this address.
+    pub fn takes(&self, address: SocketAddr) {
         *lock(&self.address) = Some(address);
+        self.in_front.store(true, Ordering::Relaxed);
+    }
+
+    /// Its process is gone: connections lead nowhere, and counts begin anew with the next.
+    pub fn is_gone(&self) {
+        self.epoch.fetch_add(1, Ordering::Relaxed);
         lock(&self.idle).clear();
         self.served.store(0, Ordering::Relaxed);
         self.unclear.store(0, Ordering::Relaxed);
@@ -247,51 +255,58 @@
         let Ok(request) = request else { return (End::Unreached, None) };
         let patience = deadline + self.0.s.span("rules.answer-slack") + SOCKET_SLACK;
         let exchange = self.exchange(dispatcher, id, request);
-        let (end, advice) = match tokio::time::timeout_at(clock.instant(patience), exchange).await {
+        let (end, advice, epoch) = match tokio::time::timeout_at(clock.instant(patience), exchange).await {
             Ok(done) => done,
-            Err(_) => (End::GivenUp, None),
+            Err(_) => (End::GivenUp, None, 0),
         };
         self.0.watch.sees(Seen::Closed { id: id.0, dispatcher, end });
         let seat = &self.0.seats[dispatcher];
         match end {
-            End::Served => seat.served.fetch_add(1, Ordering::Relaxed),
+            // By the process that is there now, and not by the one before.
+            End::Served if epoch == seat.epoch.load(Ordering::Relaxed) => {
+                seat.served.fetch_add(1, Ordering::Relaxed)
+            }
+            End::Served => 0,
             End::Lost | End::GivenUp => seat.unclear.fetch_add(1, Ordering::Relaxed),
             End::Refused | End::Failed | End::Unreached => 0,
         };
         (end, advice)
     }
 
-    /// Sends a request on a kept connection or a new one. Dropped, it closes the connection.
+    /// Sends a request on a kept connection or a new one, and says to which process. Dropped, it closes the
+    /// connection.
     async fn exchange(
         &self,
         dispatcher: usize,
         id: JobId,
         request: Request<Full<Bytes>>,
-    ) -> (End, Option<Duration>) {
+    ) -> (End, Option<Duration>, u64) {
         let seat = &self.0.seats[dispatcher];
         let mut sender = loop {
             let Some(kept) = lock(&seat.idle).pop() else {
                 break match self.connect(seat).await {
                     Some(sender) => sender,
-                    None => return (End::Unreached, None),
+                    None => return (End::Unreached, None, 0),
                 };
             };
             if kept.is_ready() {
                 break kept;
             }
         };
+        // Read after the connection is there: what it leads to is of this epoch, or gone.
+        let epoch = seat.epoch.load(Ordering::Relaxed);
         let response = match sender.send_request(request).await {
             Ok(response) => response,
             // Nothing of it was written.
-            Err(error) if error.is_canceled() => return (End::Unreached, None),
-            Err(_) => return (End::Lost, None),
+            Err(error) if error.is_canceled() => return (End::Unreached, None, epoch),
+            Err(_) => return (End::Lost, None, epoch),
         };
         let status = response.status().as_u16();
         let advice =
             response.headers().get("retry-after").and_then(|value| value.to_str().ok()?.parse().ok());
         let advice = advice.filter(|secs: &f64| (0.0..3600.0).contains(secs)).map(Duration::from_secs_f64);
         let Ok(body) = Limited::new(response.into_body(), MAX_ANSWER).collect().await else {
-            return (End::Lost, None);
+            return (End::Lost, None, epoch);
         };
         if sender.ready().await.is_ok() {
             lock(&seat.idle).push(sender);
@@ -302,7 +317,7 @@
             429 | 503 => End::Refused,
             _ => End::Failed,
         };
-        (end, advice)
+        (end, advice, epoch)
     }
 
     async fn connect(&self, seat: &Seat) -> Option<SendRequest<Full<Bytes>>> {
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
-use rookspoke_decisions::{Span, Time};
+use rookspoke_decisions::Span;
 use rookspoke_emulator::check::RULES;
 use rookspoke_emulator::model::{arrivals, hit, is_costly, Arrival};
 use rookspoke_emulator::report::{spread, ClassReport, Report, Score};
@@ -28,7 +28,7 @@
 use crate::load::{Load, Seat, SOCKET_SLACK};
 use crate::places::{check, Kind, Places, RoomError};
 use crate::plant::Plant;
-use crate::registry::{Mode, Registry, View};
+use crate::registry::{Mode, Registry};
 use crate::seen::{End, Life, Seen, Watch};
 use crate::ways::{Way, Ways};
 
@@ -254,9 +254,7 @@
         if let Some(link) = link {
             link.lead_to(address);
         }
-        let seat = &self.seats[dispatcher.number];
-        seat.is_new(link.map_or(address, |link| link.address));
-        seat.in_front.store(true, Ordering::Relaxed);
+        self.seats[dispatcher.number].takes(link.map_or(address, |link| link.address));
     }
 
     /// Starts a dispatcher again under its name, with the list as discovery has it now.
@@ -276,6 +274,7 @@
     /// Kills a dispatcher. The front notices later.
     pub async fn kill(self: &Arc<Self>, number: usize) {
         self.dispatchers[number].kill().await;
+        self.seats[number].is_gone();
         let rig = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(FRONT_NOTICES).await;
@@ -294,7 +293,9 @@
         let ends = tokio::spawn(async move { dispatcher.end(patience).await });
         tokio::time::sleep(STILL_COME).await;
         self.seats[number].in_front.store(false, Ordering::Relaxed);
-        ends.await.unwrap_or(false)
+        let ended = ends.await.unwrap_or(false);
+        self.seats[number].is_gone();
+        ended
     }
 
     /// The control of a way's link, if the way has one.
@@ -446,8 +447,12 @@
             }
             // Jobs are dear from the start; cut zones are links.
             Trouble::Costly | Trouble::ZoneCut => lasts.await,
-            Trouble::DiscoveryGone => {
-                self.registry.set(Mode::Refuses);
+            Trouble::DiscoveryGone | Trouble::DiscoverySilent | Trouble::DiscoveryOld => {
+                self.registry.set(match trouble {
+                    Trouble::DiscoverySilent => Mode::Silent,
+                    Trouble::DiscoveryOld => Mode::Old,
+                    _ => Mode::Refuses,
+                });
                 lasts.await;
                 self.registry.set(Mode::Works);
             }
@@ -510,11 +515,6 @@
         Ok(())
     }
 
-    /// Puts a log worker's state to every dispatcher at once.
-    pub fn tell(&self, worker: usize, view: View) {
-        self.registry.sees(worker, view);
-    }
-
     /// Holds each dispatcher's own figures against what was seen, closes the books, and says what it came to.
     pub async fn outcome(&self) -> Outcome {
         let (mut memory, mut count, mut cpu_s) = (0, 0, 0.0);
@@ -610,12 +610,7 @@
 
     /// Clients reach a dispatcher there from now on.
     pub fn lead_clients(&self, number: usize, to: SocketAddr) {
-        self.seats[number].is_new(to);
-    }
-
-    /// The present on the rig's clock.
-    pub fn now(&self) -> Time {
-        self.watch.clock().now()
+        self.seats[number].takes(to);
     }
 }
 
--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -304,7 +304,11 @@
                 match now {
                     Mode::Refuses => return drop(say.send(Err(Reset)).await),
                     Mode::Silent => {
-                        let _ = mode.changed().await;
+                        tokio::select! {
+                            _ = mode.changed() => {}
+                            // Whoever waits no longer is told nothing.
+                            () = say.closed() => return,
+                        }
                         // What changed in the meantime comes with the whole list.
                         if *mode.borrow() != Mode::Silent {
                             let (rev, whole) = self.write_whole(dispatcher);
@@ -316,7 +320,17 @@
                     Mode::Works | Mode::Old => {}
                 }
                 tokio::select! {
-                    changed = mode.changed() => if changed.is_err() { return },
+                    changed = mode.changed() => {
+                        if changed.is_err() {
+                            return;
+                        }
+                        if now == Mode::Old && *mode.borrow() == Mode::Works {
+                            // What was kept from it.
+                            let (rev, whole) = self.write_whole(dispatcher);
+                            held = rev;
+                            break whole;
+                        }
+                    }
                     change = changes.recv() => match change {
                         Ok((rev, worker, view)) if rev > held && now == Mode::Works => {
                             held = rev;
--- a/crates/rookspoke/tests/rehearsal.rs
+++ b/crates/rookspoke/tests/rehearsal.rs
@@ -190,7 +190,25 @@
         rig.lead_clients(0, double(to(0), to(1)).await);
         rig.play().await.expect("it plays");
         let outcome = rig.outcome().await;
-        assert!(broken(&outcome).contains(&"no duplicate"), "{:?}", broken(&outcome));
+        let rules = broken(&outcome);
+        // The second one counts jobs that no client handed to it.
+        assert!(["no duplicate", "true figures"].iter().all(|rule| rules.contains(rule)), "{rules:?}");
+    });
+}
+
+/// Links that hold requests past a drain, and lose answers: nobody can keep the rules over them.
+#[test]
+fn what_broken_links_do_to_the_rules_trips_the_judges() {
+    multi(async {
+        let held = "length 4s\ndispatchers 1\nworkers 1\nclients.load 0.3\ndiscovery.notices 100ms\n\
+                    incident link at 1s for 3s from dispatchers to w0 cut\n\
+                    incident rolling at 1500ms for 1s part 1 size 9";
+        let (_, outcome) = play(held).await;
+        assert!(broken(&outcome).contains(&"clean drain"), "{:?}", broken(&outcome));
+        let lost = "length 2s\ndispatchers 1\nworkers 2\n\
+                    incident link at 500ms for 3s from clients to n0 back reset-at 30";
+        let (_, outcome) = play(lost).await;
+        assert!(broken(&outcome).contains(&"one answer"), "{:?}", broken(&outcome));
     });
 }
 
@@ -231,6 +249,21 @@
     });
 }
 
+/// Calls hang, watches say nothing, then an old list comes: what is sent to log workers that are gone by then comes
+/// back unharmed, and what could be told is heeded.
+#[test]
+fn a_discovery_that_is_silent_and_one_that_tells_old_lists_break_no_rule() {
+    multi(async {
+        let text = "length 14s\ndispatchers 3\nworkers 6\nclients.load 0.4\nclients.swing 0\n\
+                    discovery.notices 200ms\nincident discovery-silent at 1s for 4s\n\
+                    incident rolling at 2s for 2s part 0.34 size 2\nincident discovery-old at 7s for 4s\n\
+                    incident crash at 8s for 2s part 0.34\nincident kill at 9s for 500ms part 0.34";
+        let (rig, outcome) = valid(text).await;
+        kept(&outcome);
+        assert_eq!(rig.in_front(), 3);
+    });
+}
+
 /// Its body never came whole, so nothing ran: neither at the daemon that is killed nor behind a slow link.
 #[test]
 fn a_dispatcher_killed_in_the_middle_of_a_body_has_run_nothing() {
