--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -31,15 +31,8 @@
     Run {
         #[command(flatten)]
         what: What,
-        /// Keep the reports in this file, as JSON
-        #[arg(long, value_name = "FILE")]
-        out: Option<PathBuf>,
-        /// Write a page with tables and plots to this file
-        #[arg(long, value_name = "FILE")]
-        html: Option<PathBuf>,
-        /// Write the plot of service over time to this file, as SVG
-        #[arg(long, value_name = "FILE")]
-        svg: Option<PathBuf>,
+        #[command(flatten)]
+        files: Files,
         /// Print the windows of each run
         #[arg(long)]
         windows: bool,
@@ -118,9 +111,7 @@
         Command::Demo(what) => demo::run(&what),
         Command::Fleet(what) => stage::fleet(&what),
         Command::Load(what) => stage::load(&what),
-        Command::Run { what, out, html, svg, windows } => {
-            run(&what, &Files { out, html, svg }, windows).map(|()| 0)
-        }
+        Command::Run { what, files, windows } => run(&what, &files, windows).map(|()| 0),
         Command::Sweep { what, over } => sweep(&what, &over).map(|()| 0),
         Command::Compare { before, after } => compare_files(&before, &after).map(|()| 0),
         Command::Paper { seeds } => paper(seeds).map(|()| 0),
@@ -147,16 +138,21 @@
     let _ = std::io::stdout().write_all(text.as_bytes());
 }
 
+/// A script's scenario, or a calm day without one, with these parameters set.
+fn read(script: Option<&Path>, stage: Stage, parameters: &[(String, String)]) -> Result<Scenario, String> {
+    let mut scenario = match script {
+        Some(path) => script::read(path, stage).map_err(|problems| problems.render())?,
+        None => Scenario::default(),
+    };
+    for (name, value) in parameters {
+        set(&mut scenario, name, value).map_err(|problem| told(&problem))?;
+    }
+    Ok(scenario)
+}
+
 impl What {
     fn scenario(&self) -> Result<Scenario, String> {
-        let mut scenario = match &self.script {
-            Some(path) => script::read(path, Stage::Emulator).map_err(|problems| problems.render())?,
-            None => Scenario::default(),
-        };
-        for (name, value) in &self.set {
-            set(&mut scenario, name, value).map_err(|problem| told(&problem))?;
-        }
-        Ok(scenario)
+        read(self.script.as_deref(), Stage::Emulator, &self.set)
     }
 
     fn kinds(&self) -> Result<Vec<Kind>, String> {
@@ -234,12 +230,37 @@
 }
 
 /// Where results go, beside the terminal.
+#[derive(Args, Debug, Default)]
 struct Files {
+    /// Keep the reports in this file, as JSON
+    #[arg(long, value_name = "FILE")]
     out: Option<PathBuf>,
+    /// Write a page with tables and plots to this file
+    #[arg(long, value_name = "FILE")]
     html: Option<PathBuf>,
+    /// Write the plot of service over time to this file, as SVG
+    #[arg(long, value_name = "FILE")]
     svg: Option<PathBuf>,
 }
 
+impl Files {
+    /// Writes all that was asked for; a page is named after its script.
+    fn write(&self, script: Option<&Path>, scenario: &Scenario, reports: &[Report]) -> Result<(), String> {
+        if let Some(path) = &self.out {
+            write(path, &serde_json::to_string(reports).map_err(|error| error.to_string())?)?;
+        }
+        if let Some(path) = &self.svg {
+            write(path, &plot::service(scenario, reports).map_err(|error| error.to_string())?)?;
+        }
+        if let Some(path) = &self.html {
+            let title = script.and_then(Path::file_stem).map(|stem| stem.to_string_lossy());
+            let title = title.map_or_else(|| "a calm day".to_owned(), |stem| stem.replace('-', " "));
+            write(path, &plot::page(&title, scenario, reports).map_err(|error| error.to_string())?)?;
+        }
+        Ok(())
+    }
+}
+
 fn write(path: &Path, text: &str) -> Result<(), String> {
     std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
 }
@@ -264,18 +285,7 @@
     }
     let simulated = scenario.span("length").secs() * reports.len() as f64;
     let _ = writeln!(std::io::stderr(), "{simulated:.0} simulated seconds in {took:.2} s");
-    if let Some(path) = &files.out {
-        write(path, &serde_json::to_string(&reports).map_err(|error| error.to_string())?)?;
-    }
-    if let Some(path) = &files.svg {
-        write(path, &plot::service(&scenario, &reports).map_err(|error| error.to_string())?)?;
-    }
-    if let Some(path) = &files.html {
-        let title = what.script.as_ref().and_then(|path| path.file_stem()).map(|stem| stem.to_string_lossy());
-        let title = title.map_or_else(|| "a calm day".to_owned(), |stem| stem.replace('-', " "));
-        write(path, &plot::page(&title, &scenario, &reports).map_err(|error| error.to_string())?)?;
-    }
-    Ok(())
+    files.write(what.script.as_deref(), &scenario, &reports)
 }
 
 fn sweep(what: &What, (name, values): &(String, String)) -> Result<(), String> {
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -7,13 +7,10 @@
 
 use clap::Args;
 use rookspoke_decisions::Span;
-use rookspoke_emulator::experiment::set;
 use rookspoke_emulator::model::arrivals;
-use rookspoke_emulator::plot;
 use rookspoke_emulator::report::Score;
 use rookspoke_emulator::rng::{stream, Stream};
 use rookspoke_emulator::scenario::{Scenario, Stage};
-use rookspoke_emulator::script;
 use rookspoke_rig::clock::{Clock, Lateness};
 use rookspoke_rig::judge::OneAnswer;
 use rookspoke_rig::load::{Load, Seat, SOCKET_SLACK};
@@ -48,29 +45,16 @@
     /// Write what happened to this file: one JSON object to a line, on one clock
     #[arg(long, value_name = "FILE")]
     timeline: Option<PathBuf>,
-    /// Keep the report in this file, as JSON, in the form of `run`
-    #[arg(long, value_name = "FILE")]
-    out: Option<PathBuf>,
-    /// Write a page with tables and plots to this file
-    #[arg(long, value_name = "FILE")]
-    html: Option<PathBuf>,
-    /// Write the plot of service over time to this file, as SVG
-    #[arg(long, value_name = "FILE")]
-    svg: Option<PathBuf>,
+    #[command(flatten)]
+    files: crate::Files,
 }
 
 impl Rehearse {
     fn scenario(&self) -> Result<Scenario, String> {
-        let mut scenario = match &self.script {
-            Some(path) => script::read(path, Stage::Processes).map_err(|problems| problems.render())?,
-            None => Scenario::default(),
-        };
         let sizes = [("dispatchers", self.dispatchers), ("workers", self.workers)];
         let sizes = sizes.into_iter().filter_map(|(name, size)| Some((name.to_owned(), size?.to_string())));
-        for (name, value) in self.set.iter().cloned().chain(sizes) {
-            set(&mut scenario, &name, &value).map_err(|problem| crate::told(&problem))?;
-        }
-        Ok(scenario)
+        let parameters: Vec<(String, String)> = self.set.iter().cloned().chain(sizes).collect();
+        crate::read(self.script.as_deref(), Stage::Processes, &parameters)
     }
 }
 
@@ -249,21 +233,7 @@
     if let Some(path) = &what.timeline {
         rig.watch.write(path).map_err(|error| format!("{}: {error}", path.display()))?;
     }
-    let reports = std::slice::from_ref(&outcome.report);
-    if let Some(path) = &what.out {
-        crate::write(path, &serde_json::to_string(reports).map_err(|error| error.to_string())?)?;
-    }
-    if let Some(path) = &what.svg {
-        let drawn = plot::service(&rig.scenario, reports).map_err(|error| error.to_string())?;
-        crate::write(path, &drawn)?;
-    }
-    if let Some(path) = &what.html {
-        let title = what.script.as_ref().and_then(|path| path.file_stem()).map(|stem| stem.to_string_lossy());
-        let title = title.map_or_else(|| "a calm day".to_owned(), |stem| stem.replace('-', " "));
-        let page = plot::page(&title, &rig.scenario, reports).map_err(|error| error.to_string())?;
-        crate::write(path, &page)?;
-    }
-    Ok(())
+    what.files.write(what.script.as_deref(), &rig.scenario, std::slice::from_ref(&outcome.report))
 }
 
 /// The verdict in words, with what broke.
@@ -281,7 +251,7 @@
     text
 }
 
-/// One line a second on a terminal: how it goes.
+/// How it goes, in one line on a terminal.
 async fn show(rig: Arc<Rig>) {
     if !std::io::stderr().is_terminal() {
         return;
--- a/crates/rig/src/clock.rs
+++ b/crates/rig/src/clock.rs
@@ -7,6 +7,11 @@
 use rookspoke_decisions::{Span, Time};
 use serde::Serialize;
 
+/// A span as the runtime counts them; a negative one is none.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0.max(0) as u64)
+}
+
 /// Microseconds since a play's start.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/crates/rig/src/link/tcp.rs
+++ b/crates/rig/src/link/tcp.rs
@@ -16,6 +16,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::{Control, Direction, Fate, Faults};
+use crate::clock::duration;
 
 /// The largest piece, in bytes.
 const PIECE: usize = 16 * 1024;
@@ -193,7 +194,7 @@
             // What is lost on the way is sent again by the system: connections know delay alone.
             let sure = Faults { cut: false, loss: 0.0, duplicate: 0.0, reorder: 0.0, ..faults };
             let late = Fate::of(&sure, self.seed, self.direction, number).copies.first().copied();
-            let late = Duration::from_micros(late.unwrap_or(Span(0)).0.max(0) as u64);
+            let late = duration(late.unwrap_or(Span(0)));
             last = last.max(Instant::now() + late);
             let piece = match read {
                 Ok(1..) => Piece::Bytes(buffer.split().freeze(), last),
--- a/crates/rig/src/link/udp.rs
+++ b/crates/rig/src/link/udp.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
 use rookspoke_decisions::Span;
 use serde::Serialize;
@@ -14,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use super::{Control, Direction, Fate};
+use crate::clock::duration;
 
 /// The largest datagram.
 const MOST: usize = 64 * 1024;
@@ -119,7 +119,7 @@
             };
             let (data, by, counters) = (data.to_vec(), by.clone(), self.counters.clone());
             tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_micros(late.0 as u64)).await;
+                tokio::time::sleep(duration(late)).await;
                 let sent = by.send_to(&data, to).await.is_ok();
                 counters.went.fetch_add(u64::from(sent), Ordering::Relaxed);
                 drop(permit);
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, JoinSet};
 
-use crate::clock::{Clock, Lateness, LatenessFigures};
+use crate::clock::{duration, Clock, Lateness, LatenessFigures};
 use crate::dispatcher::{config, Dispatcher, StartError};
 use crate::job::JobId;
 use crate::judge::{all, Allowed, Breach};
@@ -239,9 +239,7 @@
                     dispatcher.ready(patience).await
                 });
             }
-            while let Some(started) = starts.join_next().await {
-                joined(started)?;
-            }
+            all_joined(starts).await?;
         }
         self.dispatchers.iter().for_each(|dispatcher| self.takes_in(dispatcher));
         Ok(())
@@ -369,10 +367,7 @@
             });
         }
         self.load.run(begin, &self.arrivals()).await;
-        while let Some(part) = parts.join_next().await {
-            joined(part)?;
-        }
-        Ok(())
+        all_joined(parts).await
     }
 
     /// Plays one incident now, to its end. Whom it hits is drawn by its number.
@@ -466,7 +461,7 @@
                 }
             }
             Trouble::Slowed => {
-                let length = Duration::from_micros(length.0.max(0) as u64);
+                let length = duration(length);
                 let mut slow = JoinSet::new();
                 for number in all {
                     let dispatcher = self.dispatchers[number].clone();
@@ -493,9 +488,7 @@
                         rig.start_again(number).await
                     });
                 }
-                while let Some(turn) = turns.join_next().await {
-                    joined(turn)?;
-                }
+                all_joined(turns).await?;
             }
         }
         self.says(format!("incident {number}, {trouble:?}, is over"));
@@ -509,10 +502,7 @@
             let rig = self.clone();
             starts.spawn(async move { rig.start_again(number).await });
         }
-        while let Some(started) = starts.join_next().await {
-            joined(started)?;
-        }
-        Ok(())
+        all_joined(starts).await
     }
 
     /// Holds each dispatcher's own figures against what was seen, closes the books, and says what it came to.
@@ -629,16 +619,19 @@
     TcpLink::open(at, target, Control::default(), own).await
 }
 
-/// What a task came to; its panic goes on here.
-fn joined(done: Result<Result<(), StartError>, tokio::task::JoinError>) -> Result<(), StartError> {
-    match done {
-        Ok(done) => done,
-        Err(error) if error.is_panic() => std::panic::resume_unwind(error.into_panic()),
-        // Called off, with all the rest.
-        Err(_) => Ok(()),
+/// Waits for all of them, or for the first that fails; a panic of one goes on here.
+async fn all_joined(mut tasks: JoinSet<Result<(), StartError>>) -> Result<(), StartError> {
+    while let Some(done) = tasks.join_next().await {
+        match done {
+            Ok(done) => done?,
+            Err(error) if error.is_panic() => std::panic::resume_unwind(error.into_panic()),
+            // Called off, with all the rest.
+            Err(_) => {}
+        }
     }
+    Ok(())
 }
 
 fn lasting(length: Span) -> tokio::time::Sleep {
-    tokio::time::sleep(Duration::from_micros(length.0.max(0) as u64))
+    tokio::time::sleep(duration(length))
 }
--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, mpsc, watch};
 
+use crate::clock::duration;
 use crate::plant::name;
 use crate::seen::{Seen, Watch};
 use crate::serve::{plain, Reset, Said, Told};
@@ -148,7 +149,7 @@
     pub fn notices(&self, after: Span, worker: usize, view: View) {
         let registry = self.clone();
         tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_micros(after.0.max(0) as u64)).await;
+            tokio::time::sleep(duration(after)).await;
             registry.sees(worker, view);
         });
     }
@@ -186,7 +187,7 @@
     /// The whole list as it is, for a dispatcher that remembers it from before its start.
     pub fn known(&self, dispatcher: usize) -> Value {
         let state = self.state();
-        self.whole(&state, dispatcher, state.rev, &state.view.clone())
+        self.whole(&state, dispatcher, state.rev, &state.view)
     }
 
     fn whole(&self, state: &State, dispatcher: usize, rev: u64, view: &[View]) -> Value {
@@ -281,7 +282,7 @@
                 true
             }
             None => {
-                tokio::time::sleep(Duration::from_micros(timeout.0.max(0) as u64)).await;
+                tokio::time::sleep(duration(timeout)).await;
                 false
             }
         }
