Ask again where pushed lists break, and know in one module how old a list may be

Found beside it, by reading: an indented object on a watch was read line by line and failed the call each time; after a failed call 300 dispatchers paused 5 to 15 s though a silent watch or SIGHUP leaves 6 or 4 s; a head alone, and a watch that ended, counted as a call that failed and bought four times `ask_every`.

Change: `list_age`, without I/O or clock, says until when a list is gone by and when to ask, for push and ask alike (table in its rustdoc). The resolver tells silence (2.5 s) from a lost call, reads objects over many lines, and takes an empty first line as the version held; the agent of a pushed list is asked within 0.2 s. SIGHUP is told to the decisions.

Tests: told times looked for change by change against drawn courses; four with processes.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -30,7 +30,7 @@
 use resolver::{Order, Resolver, ResolverResult};
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
-    Ban, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
+    Ban, Discovery, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -157,6 +157,8 @@
     /// Takes the list of log workers from elsewhere from now on. Nothing else changes: what is under way goes
     /// on, and so do connections to log workers that the new list still holds.
     pub async fn take_list_from(&self, source: ListSource) {
+        // Before anything comes from there.
+        self.handle.list(ListScope::Moved, Arc::new([])).await;
         // The resolver lives as long as the channel's own tasks.
         let _ = self.orders.send(Order::Move(source)).await;
     }
@@ -463,7 +465,9 @@
     ready: watch::Sender<bool>,
 ) -> impl Future<Output = ()> + Send + 'static {
     let known = config.known.clone();
-    let resolver = Resolver::new(config.source.clone(), known.as_ref().map(|k| k.rev));
+    let pushed = config.settings.discovery == Discovery::Automatic;
+    let resolver = Resolver::new(config.source.clone(), known.as_ref().map(|k| k.rev), pushed);
+    let clock = fleet.shared.clock;
     let ready = Arc::new(ready);
     async move {
         // Without any list, too, the decisions must hear of their start: they ask for lists from then on.
@@ -488,6 +492,10 @@
                         ready.send_replace(true);
                     }
                     ResolverResult::Failed => handle.list(ListScope::Failed, Arc::new([])).await,
+                    ResolverResult::Silent(since) => {
+                        let since = clock.at(since);
+                        handle.list(ListScope::Silent { since }, Arc::new([])).await;
+                    }
                 }
             }
         };
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
@@ -23,8 +23,15 @@
 const PATH: &str = "/registry/instances";
 /// An answer that takes longer counts as failed; discovery itself gives up on a call after 2 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2200);
-/// A watch brings at least an empty line every 2 s; one silent for longer is dead, whatever TCP says.
-const SILENCE: Duration = Duration::from_secs(3);
+/// The same of an agent to which lists are pushed: its news counts at once, so no call is waited for long,
+const AGENT_TIMEOUT: Duration = Duration::from_millis(300);
+/// but for every fourth, lest one that is always slower be never heard.
+const AGENT_PATIENCE: (u32, Duration) = (4, Duration::from_secs(1));
+/// A watch brings at least an empty line every 2 s; one silent for longer is dead, whatever TCP says. What it missed
+/// counts 6 s after its last word, and a new one takes up to 2 s of them.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// The most that one object holds over all its lines, in bytes.
+const MAX_OBJECT: usize = 1024 * 1024;
 /// What had come before a watch's time was up is read within this.
 const UNREAD: Duration = Duration::from_millis(50);
 
@@ -35,6 +42,8 @@
     Update(ListScope, Arc<Update>),
     /// The call failed or the watch broke.
     Failed,
+    /// The watch was given up; its last word came then.
+    Silent(Instant),
 }
 
 /// Why a call to discovery failed.
@@ -46,8 +55,12 @@
     Http(#[from] hyper::Error),
     #[error("status {0}")]
     Status(u16),
-    #[error("silent for too long")]
-    Silent(#[from] tokio::time::error::Elapsed),
+    #[error("no answer in time")]
+    NoAnswer(#[from] tokio::time::error::Elapsed),
+    #[error("the watch was silent for {:?}", .0.elapsed())]
+    Silent(Instant),
+    #[error("an object of more than {MAX_OBJECT} bytes")]
+    TooLong,
     #[error("{0}")]
     Line(#[from] LineError),
     #[error("unreadable: {0}")]
@@ -72,12 +85,26 @@
     source: ListSource,
     /// The version held, from which a new watch goes on.
     rev: Option<u64>,
+    /// Lists are pushed to an agent nearby, which is asked here.
+    pushed: bool,
+    /// Calls that failed since the last that did not.
+    failed: u32,
 }
 
 impl Resolver {
-    /// A resolver that holds the list of version `rev`, if any.
-    pub fn new(source: ListSource, rev: Option<u64>) -> Self {
-        Resolver { source, rev }
+    /// A resolver that holds the list of version `rev`, if any; `pushed` where an agent nearby is told unasked.
+    pub fn new(source: ListSource, rev: Option<u64>, pushed: bool) -> Self {
+        Resolver { source, rev, pushed, failed: 0 }
+    }
+
+    /// How long the next call may take.
+    fn patience(&self) -> Duration {
+        let (every, long) = AGENT_PATIENCE;
+        match self.pushed {
+            true if self.failed % every == every - 1 => long,
+            true => AGENT_TIMEOUT,
+            false => CALL_TIMEOUT,
+        }
     }
 
     /// Carries out orders until their sender is gone; each result goes to `tell`, in order.
@@ -120,7 +147,12 @@
                 Ok(done) => {
                     if let Err(error) = done {
                         tracing::info!("discovery: {error}");
-                        tell(ResolverResult::Failed).await;
+                        self.failed = self.failed.saturating_add(1);
+                        tell(match error {
+                            CallError::Silent(since) => ResolverResult::Silent(since),
+                            _ => ResolverResult::Failed,
+                        })
+                        .await;
                     }
                     order = orders.recv().await;
                 }
@@ -133,9 +165,10 @@
         F: Fn(ResolverResult) -> Fut,
         Fut: Future<Output = ()>,
     {
-        let (_connection, lines) = timeout(CALL_TIMEOUT, call(address, PATH)).await??;
-        let line = timeout(CALL_TIMEOUT, lines.all()).await??;
-        self.pass_on(&line, tell).await
+        let (_connection, lines) = timeout(self.patience(), call(address, PATH)).await??;
+        let all = timeout(CALL_TIMEOUT, lines.all()).await??;
+        self.pass_on(serde_json::from_slice(&all)?, tell).await;
+        Ok(())
     }
 
     async fn watch<F, Fut>(&mut self, address: SocketAddr, tell: &F) -> Result<(), CallError>
@@ -144,32 +177,66 @@
         Fut: Future<Output = ()>,
     {
         let path = format!("{PATH}?watch=1&after={}", self.rev.unwrap_or(0));
-        let (_connection, mut lines) = timeout(CALL_TIMEOUT, call(address, &path)).await??;
+        let (_connection, mut lines) = timeout(self.patience(), call(address, &path)).await??;
+        let (mut object, mut heard) = (Vec::new(), None);
         loop {
             let line = match timeout(SILENCE, lines.next()).await {
                 Ok(line) => line,
                 // Stopped for longer than that, this process wakes with its time up and news unread.
-                Err(_) => timeout(UNREAD, lines.next()).await?,
+                Err(_) => match (timeout(UNREAD, lines.next()).await, heard) {
+                    (Ok(line), _) => line,
+                    // A head alone is no word of the list: the call failed.
+                    (Err(late), None) => return Err(late.into()),
+                    (Err(_), Some(since)) => return Err(CallError::Silent(since)),
+                },
             };
             let line = line?.ok_or(CallError::Ended)?;
-            if !line.iter().all(u8::is_ascii_whitespace) {
-                self.pass_on(&line, tell).await?;
+            let first = heard.replace(Instant::now()).is_none();
+            match (add(&mut object, &line)?, self.rev) {
+                (Some(update), _) => self.pass_on(update, tell).await,
+                // Nothing has changed since the version held: that is news of a list that had been in doubt.
+                (None, Some(rev)) if first && object.is_empty() => {
+                    self.pass_on(Update { rev, all: false, targets: Vec::new() }, tell).await;
+                }
+                (None, _) => {}
             }
         }
     }
 
-    async fn pass_on<F, Fut>(&mut self, line: &[u8], tell: &F) -> Result<(), CallError>
+    async fn pass_on<F, Fut>(&mut self, update: Update, tell: &F)
     where
         F: Fn(ResolverResult) -> Fut,
         Fut: Future<Output = ()>,
     {
-        let update: Update = serde_json::from_slice(line)?;
         let scope = if update.all { ListScope::Complete } else { ListScope::Changes };
         let rev = update.rev;
         tell(ResolverResult::Update(scope, Arc::new(update))).await;
         // Not before: what an order cuts off here is told again.
-        self.rev = Some(rev);
-        Ok(())
+        (self.rev, self.failed) = (Some(rev), 0);
+    }
+}
+
+/// Adds a line to an object, which may be spread over many; gives the object once it is whole.
+fn add(object: &mut Vec<u8>, line: &[u8]) -> Result<Option<Update>, CallError> {
+    let blank = line.iter().all(u8::is_ascii_whitespace);
+    if blank && object.is_empty() {
+        return Ok(None);
+    }
+    object.extend_from_slice(line);
+    if object.len() > MAX_OBJECT {
+        return Err(CallError::TooLong);
+    }
+    // An object's last line ends so: the others need not be tried. An empty one is said between objects only.
+    let open = object.trim_ascii_start().starts_with(b"{") && !line.trim_ascii_end().ends_with(b"}");
+    if open && !blank {
+        return Ok(None);
+    }
+    match serde_json::from_slice(object) {
+        Err(error) if error.is_eof() && !blank => Ok(None),
+        update => {
+            object.clear();
+            Ok(Some(update?))
+        }
     }
 }
 
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -395,6 +395,13 @@
     Remembered,
     /// A call failed or the subscription broke; nothing changed.
     Failed,
+    /// The subscription was given up, since nothing came on it; nothing changed.
+    Silent {
+        /// When the last word came.
+        since: Time,
+    },
+    /// The list comes from elsewhere from now on, where the host asks by itself; nothing changed.
+    Moved,
 }
 
 /// A client's request.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -165,15 +165,6 @@
     Full,
 }
 
-/// Following the list where it must be asked for.
-#[derive(Default)]
-pub struct Asking {
-    pub subscribed: bool,
-    pub asked: Time,
-    pub next: Time,
-    pub fails: u32,
-}
-
 #[derive(Clone, Debug)]
 pub struct Worker {
     pub name: Name,
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -8,6 +8,7 @@
 
 use crate::api::*;
 use crate::book::*;
+use crate::list_age::ListAge;
 
 const PAPER_FULL: f64 = 8.0; // slots of a worker until they are learned: the paper's t_full
 const T_FULL: f64 = 1.0; // t_full, as a part of the slots
@@ -56,10 +57,6 @@
 const TENANT_SLACK: f64 = 1.15; // clients spread unevenly: one dispatcher may carry this much of its part
 const COLD_PART: f64 = 0.35; // of the cold budget is planned: a span can hold twice that, the rest is margin
 const ROUND: Span = Span(250_000); // between two rounds of housekeeping
-const ASK_AGAIN: Span = Span(500_000); // pause after a failed list call, doubled once: a drain counts as told
-const ASK_WORK: Span = Span(50_000); // of discovery for one call: all that ask again share it, or none is heard
-const ASK_WAIT: Span = Span(2_500_000); // a call is answered, or fails, within this
-const ASK_DOUBLINGS: u32 = 1; // within seconds, heard or not, so a lost list cannot be left alone for long
 
 /// Decides for one dispatcher; knows only what its own events said.
 pub struct Dispatcher {
@@ -78,7 +75,7 @@
     reserved: Vec<f64>,     // and the part of it that others leave to them.
     reserved_version: u64,
     tenants: Vec<Bucket>, // What each tenant may still send within its share.
-    asking: Asking,
+    list: ListAge,
     armed: Option<Time>,
     round: Time,
 }
@@ -102,7 +99,7 @@
             reserved: vec![0.0; settings.kinds.len()],
             reserved_version: 1,
             tenants: vec![Bucket::default(); settings.tenants.len()],
-            asking: Asking::default(),
+            list: ListAge::new(&settings),
             armed: None,
             round: Time::default(),
             s: settings,
@@ -112,9 +109,8 @@
     /// Takes one event and pushes what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         if self.born.is_none() {
-            (self.born, self.now, self.round, self.asking.asked) = (Some(now), now, now, now);
-            // All start together after an outage: spread the first calls.
-            self.asking.next = now + Span(self.rng.random_range(0..=self.s.rules.ask_every.0 / 4));
+            (self.born, self.now, self.round) = (Some(now), now, now);
+            self.list.born(now, &mut self.rng);
         }
         self.now = self.now.max(now);
         match event {
@@ -147,17 +143,15 @@
                 let unknown = self.fleet.probe_stale(ready.iter(), Time(i64::MIN), most);
                 out.extend(unknown.into_iter().map(Action::Probe));
             }
-            let follows = self.s.discovery == Discovery::Automatic || self.asking.subscribed;
-            if !follows && now >= self.asking.next {
-                out.push(Action::Subscribe);
-                // Not again before it is answered or has failed: many that ask anew each moment hear nothing.
-                (self.asking.asked, self.asking.next) = (now, now + ASK_WAIT);
-            }
+        }
+        if self.list.is_due(self.now) {
+            out.push(Action::Subscribe);
+            self.list.asks(self.now);
         }
         while let Some(id) = self.book.pop_due(self.now) {
             self.advance(id, out);
         }
-        let next = self.book.next_due().map_or(self.round, |due| due.min(self.round));
+        let next = self.book.next_due().into_iter().chain(self.list.next()).fold(self.round, Time::min);
         if self.armed.is_none_or(|at| next < at) {
             self.armed = Some(next);
             out.push(Action::SetTimer { at: next, token: 0 });
@@ -174,21 +168,13 @@
         self.fleet.knows(worker)
     }
 
-    /// Backoff with jitter: after an outage of the list not all may call at once.
-    fn plan_ask(&mut self) {
-        let least = ASK_AGAIN.0.max(ASK_WORK.0 * self.s.balancers as i64);
-        let pause = least << self.asking.fails.saturating_sub(1).min(ASK_DOUBLINGS);
-        let pause = pause.min(self.s.rules.ask_every.0).max(1);
-        self.asking.next = self.now + Span(pause / 2 + self.rng.random_range(0..=pause));
-    }
-
     fn on_list(&mut self, scope: ListScope, entries: &[Listing]) {
-        if scope == ListScope::Failed {
-            (self.asking.subscribed, self.asking.fails) = (false, self.asking.fails + 1);
-            return self.plan_ask();
-        }
-        if scope != ListScope::Remembered {
-            (self.asking.subscribed, self.asking.fails) = (true, 0);
+        match scope {
+            ListScope::Failed => return self.list.lost(self.now, &mut self.rng),
+            ListScope::Silent { since } => return self.list.silent(since, self.now, &mut self.rng),
+            ListScope::Moved => return self.list.moved(self.now),
+            ListScope::Changes | ListScope::Complete => self.list.heard(),
+            ListScope::Remembered => {}
         }
         self.fleet.apply(scope, entries, &self.s, self.now);
     }
@@ -522,10 +508,8 @@
                 ran.all(|a| a.peers == peers && self.now + self.s.quantum < a.sent + window)
             }
         };
-        // Rule 3: only workers that this dispatcher's list has in service, and a list that is followed.
-        let patience = self.s.rules.ask_every.0 * if self.asking.fails > 0 { 4 } else { 1 };
-        let asks = self.asking.subscribed || (self.now - self.asking.asked).0 < patience;
-        let informed = self.s.discovery == Discovery::Automatic || asks;
+        // Rule 3: only workers that this dispatcher's list has in service, and a list that is not too old.
+        let informed = self.list.is_trusted(self.now);
         let kind = class.kind.is_none() || class.kind == w.kind;
         open && alone && repeats && informed && w.ready && kind && self.cold_turn(w).is_some()
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,8 @@
 mod api;
 mod book;
 mod brain;
+mod list_age;
 
 pub use api::*;
 pub use brain::Dispatcher;
+pub use list_age::ListAge;
--- /dev/null
+++ b/crates/decisions/tests/list_age.rs
@@ -0,0 +1,165 @@
+//! How old a list may be: no list is gone by once something that was missed counts as told, and it is asked for in time.
+
+mod common;
+
+use common::settings;
+use proptest::prelude::*;
+use rand::{rngs::SmallRng, SeedableRng};
+use rookspoke_decisions::*;
+
+fn ms(ms: i64) -> Span {
+    Span(ms * 1000)
+}
+
+fn list_age(discovery: Discovery, ask_every: i64, balancers: usize) -> ListAge {
+    let mut s = settings(&[Effect::Safe]);
+    (s.discovery, s.rules.ask_every, s.balancers) = (discovery, ms(ask_every), balancers);
+    ListAge::new(&s)
+}
+
+/// The operators' pages, step by step: what a dispatcher has missed, and from when on it counts as told.
+struct Told {
+    watch: bool,
+    word: Time,
+    call: Time,
+    failed: bool,
+    ended: Time,
+    doubts: Vec<Time>,
+}
+
+impl Told {
+    /// The first moment at which a change may count as told that has not come, looked for change by change.
+    fn first(&self, now: Time, ask_every: Span) -> Option<Time> {
+        let allowed = Span(ask_every.0 * if self.failed { 4 } else { 1 });
+        let unwatched = (!self.watch).then(|| {
+            let made = (0..=(now - self.ended).0 / 50_000).map(|n| self.ended + ms(50 * n));
+            made.map(|at| (at + ask_every).max(self.call + allowed)).min()
+        });
+        unwatched.flatten().into_iter().chain(self.doubts.iter().copied()).min()
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_list_is_gone_by_once_what_it_lacks_counts_as_told(
+        steps in prop::collection::vec((0..6u8, 10..3000i64), 1..40),
+        (ask_every, balancers, seed) in (1000..20_000i64, 1..400usize, 0..1000u64),
+    ) {
+        let mut age = list_age(Discovery::Subscribe, ask_every, balancers);
+        let (mut now, mut rng) = (Time::from_ms(1e6), SmallRng::seed_from_u64(seed));
+        age.born(now, &mut rng);
+        let mut told =
+            Told { watch: false, word: now, call: now, failed: false, ended: now, doubts: Vec::new() };
+        for (step, after) in steps {
+            let ends = |told: &mut Told, now| {
+                told.ended = if told.watch { now } else { told.ended };
+                told.watch = false;
+            };
+            match step {
+                0 => now = now + ms(after),
+                1 if told.watch => {
+                    ends(&mut told, now);
+                    age.lost(now, &mut rng);
+                }
+                2 if told.watch => {
+                    now = now + ms(2500);
+                    ends(&mut told, now);
+                    told.doubts.push(told.word + ms(6000));
+                    age.silent(told.word, now, &mut rng);
+                }
+                3 | 4 if !told.watch => {
+                    age.asks(now);
+                    told.call = now;
+                    now = now + ms(after.min(2200));
+                    told.failed = step == 3;
+                    if told.failed {
+                        age.lost(now, &mut rng);
+                    } else {
+                        (told.watch, told.doubts) = (true, Vec::new());
+                        age.heard();
+                    }
+                }
+                5 => {
+                    ends(&mut told, now);
+                    told.doubts.push(now + ms(4000));
+                    told.call = now;
+                    age.moved(now);
+                }
+                _ => {}
+            }
+            if told.watch {
+                told.word = now;
+            }
+            // Before the next step, at every moment of what may be a long wait.
+            for later in (0..60).map(|n| now + ms(n * 500)) {
+                let counts = told.first(later, ms(ask_every)).is_some_and(|first| first <= later);
+                prop_assert!(!(counts && age.is_trusted(later)), "trusted {} ms on", (later - now).ms());
+            }
+        }
+    }
+
+    /// Of a call that takes as long as a call may, and of one that fails first.
+    #[test]
+    fn a_silent_watch_is_replaced_before_its_list_is_too_old(balancers in 1..400usize, seed in 0..1000u64) {
+        let mut age = list_age(Discovery::Subscribe, 10_000, balancers);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let word = Time::from_ms(1e6);
+        age.born(word, &mut rng);
+        age.heard();
+        let mut now = word + ms(2500);
+        age.silent(word, now, &mut rng);
+        let asked = age.next().expect("it asks");
+        prop_assert!(asked + ms(2500) <= word + ms(6000), "asked after {} ms", (asked - word).ms());
+        prop_assert!(age.is_trusted(word + ms(5999)) && !age.is_trusted(word + ms(6000)));
+        age.asks(asked);
+        now = asked + ms(5);
+        age.lost(now, &mut rng);
+        let again = age.next().expect("it asks again");
+        prop_assert!(again + ms(1000) <= word + ms(6000), "asked again after {} ms", (again - word).ms());
+    }
+}
+
+/// Three hundred watches that fall silent together are opened again one after another, as discovery can bear.
+#[test]
+fn hundreds_that_lose_their_watches_together_do_not_ask_together() {
+    for (silent, most) in [(true, 60), (false, 20)] {
+        let mut calls = std::collections::BTreeMap::new();
+        for seed in 0..300 {
+            let (mut age, mut rng) =
+                (list_age(Discovery::Subscribe, 10_000, 300), SmallRng::seed_from_u64(seed));
+            let now = Time::from_ms(1e6);
+            age.born(now, &mut rng);
+            age.heard();
+            match silent {
+                true => age.silent(now, now + ms(2500), &mut rng),
+                false => age.lost(now, &mut rng),
+            }
+            *calls.entry((age.next().expect("it asks") - now).0 / 100_000).or_insert(0) += 1;
+        }
+        assert!(calls.values().all(|count| *count <= most), "{calls:?} in tenths of a second");
+        assert!(
+            silent || calls.keys().all(|tenth| *tenth <= 75),
+            "too late for an answer in time: {calls:?}"
+        );
+    }
+}
+
+/// The agent's news counts at once: without a word from it the list is good for half a second, and it is asked often.
+#[test]
+fn a_pushed_list_is_gone_by_only_while_the_agent_is_asked() {
+    let (mut age, mut rng) = (list_age(Discovery::Automatic, 0, 300), SmallRng::seed_from_u64(1));
+    let mut now = Time::from_ms(1e6);
+    age.born(now, &mut rng);
+    assert!(age.is_trusted(now) && age.next().is_none(), "its host asks at the start");
+    age.heard();
+    assert!(age.is_trusted(now + ms(3_600_000)), "an open watch is for good");
+    age.lost(now, &mut rng);
+    for _ in 0..40 {
+        let next = age.next().expect("it asks");
+        assert!(next - now <= ms(240) && age.is_trusted(next), "after {} ms", (next - now).ms());
+        age.asks(next);
+        assert!(!age.is_trusted(next + ms(500)), "a call that hangs says nothing");
+        now = next + ms(5);
+        age.lost(now, &mut rng);
+    }
+}
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -226,8 +226,8 @@
             Input::List(scope, entries) => {
                 match scope {
                     ListScope::Changes | ListScope::Complete => self.counters.lists.add(),
-                    ListScope::Failed => self.counters.lists_failed.add(),
-                    ListScope::Remembered => {}
+                    ListScope::Failed | ListScope::Silent { .. } => self.counters.lists_failed.add(),
+                    ListScope::Remembered | ListScope::Moved => {}
                 }
                 self.events.push_back(Event::List { scope, entries });
             }
--- a/crates/rookspoke/tests/platform.rs
+++ b/crates/rookspoke/tests/platform.rs
@@ -417,3 +417,98 @@
     assert_eq!(ask(daemon.address("http"), &post("log-lookup", "00000000000000f3", 5000, "")).status, 200);
     daemon.wait_counters("http", &["lists=1", "lists_failed=1"]);
 }
+
+/// Reads the call for a watch, and answers with these lines.
+fn watched(listener: &std::net::TcpListener, lines: &[&str]) -> std::net::TcpStream {
+    let (mut stream, _) = listener.accept().expect("a call");
+    let request = read_message(&mut BufReader::new(stream.try_clone().expect("a clone")));
+    assert!(request.is_some_and(|request| request.first.contains("watch=1")));
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("sent");
+    for line in lines {
+        stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).expect("sent");
+    }
+    stream
+}
+
+/// Lists may come indented; and an empty line that comes first says that nothing has changed.
+#[test]
+fn indented_lists_are_read_on_a_watch_and_an_empty_line_confirms_the_version_held() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut config = config(listener.local_addr().expect("an address"));
+    config["settings"]["rules"]["ask_every_ms"] = 100.0.into();
+    let daemon = Daemon::start(&config, None);
+    let pretty = |value: serde_json::Value| serde_json::to_string_pretty(&value).expect("text");
+    let list = pretty(json!({"rev": 4, "all": true, "targets": [one.entry("active"), two.entry("active")]}));
+    let drain = pretty(json!({"rev": 5, "all": false, "targets": [one.entry("leaving")]}));
+    let first = watched(&listener, &["", &list, "", &drain]);
+    daemon.wait_counters("http", &["lists=2", "lists_failed=0"]);
+    let http = daemon.address("http");
+    let ask_one = |id: &str| ask(http, &post("log-lookup", id, 5000, "")).status;
+    assert_eq!((ask_one("0000000000000201"), one.count(), two.count()), (200, 0, 1));
+    drop(first);
+    let _second = watched(&listener, &[""]);
+    daemon.wait_counters("http", &["lists=3", "lists_failed=1"]);
+    // Longer than the list would be good for without a watch.
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!((ask_one("0000000000000202"), one.count(), two.count()), (200, 0, 2));
+}
+
+/// What a silent watch has missed counts as told 6 s after its last word, though nothing brings it: jobs wait from
+/// then on, and go where the next list says.
+#[test]
+fn nothing_goes_by_a_list_that_a_silent_watch_left_too_old() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut config = config(listener.local_addr().expect("an address"));
+    config["settings"]["rules"]["ask_every_ms"] = 20_000.0.into();
+    let daemon = Daemon::start(&config, None);
+    let list = json!({"rev": 1, "all": true, "targets": [one.entry("active")]}).to_string();
+    let silent = Instant::now();
+    let _first = watched(&listener, &[&list]);
+    daemon.wait_ready();
+    let http = daemon.address("http");
+    // It asks again and again, and heads alone are no answer.
+    let mut heads = Vec::new();
+    while silent.elapsed() < Duration::from_millis(6100) {
+        let left = Duration::from_millis(6200).saturating_sub(silent.elapsed());
+        listener.set_nonblocking(true).expect("a listener");
+        std::thread::sleep(left.min(Duration::from_millis(20)));
+        if let Ok((mut stream, _)) = listener.accept() {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            heads.push(stream);
+        }
+    }
+    listener.set_nonblocking(false).expect("a listener");
+    assert!(!heads.is_empty(), "it did not ask again in time");
+    let client = send(http, &post("log-lookup", "0000000000000211", 9_000, ""));
+    std::thread::sleep(Duration::from_millis(600));
+    assert_eq!(one.count(), 0, "sent by a list that counts as replaced");
+    let list = json!({"rev": 2, "all": true, "targets": [one.entry("leaving"), two.entry("active")]});
+    let _last = watched(&listener, &[&list.to_string()]);
+    assert_eq!(read_message(&mut BufReader::new(client)).expect("an answer").status, 200);
+    assert_eq!((one.count(), two.count()), (0, 1));
+}
+
+/// Where lists are pushed, the agent is asked again within moments, however many dispatchers there are; it once never was.
+#[test]
+fn a_pushed_lists_watch_that_breaks_is_opened_again_at_once() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let discovery = Discovery::of(&[&one, &two]);
+    let mut config = config(discovery.address);
+    config["settings"]["discovery"] = "automatic".into();
+    config["settings"]["balancers"] = 300.into();
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    let http = daemon.address("http");
+    for turn in 2..5 {
+        discovery.set(vec![one.entry("leaving"), two.entry("active")]);
+        let broken = Instant::now();
+        discovery.break_watches();
+        wait_for("a new watch", || (discovery.watches.load(Ordering::SeqCst) >= turn).then_some(()));
+        assert!(broken.elapsed() < Duration::from_secs(5), "{:?}", broken.elapsed());
+    }
+    daemon.wait_counters("http", &["lists=4", "lists_failed=3"]);
+    assert_eq!(ask(http, &post("log-lookup", "0000000000000221", 5000, "")).status, 200);
+    assert_eq!((one.count(), two.count()), (0, 1));
+}
