Ask log workers for their load where answers report it too, if many share the fleet

There load comes in answers alone (reporting = answers), and brain.rs probed only for reporting = probe (`self.s.reporting == Reporting::Probe`, in three places). So of 300 dispatchers each heard of a worker once in tens of seconds, of the other zone's never, and `occupied` took those for as full as the near ones (`self.fill`). Change: where more than 4 dispatchers share a fleet, workers are asked as where only probes report. Smaller fleets as before.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -137,7 +137,7 @@
             self.table.retain(|_, t| t.demand.at >= now - TABLE_MEMORY);
             self.reserve();
             // A worker's slots show in the report of an idle one; under load they are taken for fewer.
-            if self.s.reporting == Reporting::Probe && self.s.limits.probes {
+            if self.asks() {
                 let ready = self.fleet.ready.clone();
                 let most = FIRST_PROBES * SWEEPERS / self.s.balancers.max(SWEEPERS);
                 let unknown = self.fleet.probe_stale(ready.iter(), Time(i64::MIN), most);
@@ -264,12 +264,18 @@
         self.s.balancers > SWEEPERS
     }
 
+    /// Whether workers are asked for their load. Answers bring it too, but to a sliver of a large fleet's jobs seldom, and
+    /// never from where no job went.
+    fn asks(&self) -> bool {
+        let of = self.s.reporting;
+        self.s.limits.probes && (of == Reporting::Probe || of == Reporting::Answers && self.shared())
+    }
+
     /// Whether a job waits for a probe of the worker chosen, until `since` is `LOOK` ago: of a hundred dispatchers
     /// each would take the same one for free, and after a zone is lost attempts would go to nobody, within moments.
     fn looks(&self, to: Wid, since: Time) -> bool {
-        let asks = self.s.reporting == Reporting::Probe && self.s.limits.probes;
         let old = |w: &Worker| w.probe_out && w.reported.is_none_or(|at| self.now - at > OLD);
-        asks && self.shared() && self.now - since < LOOK && self.fleet.get(to).is_some_and(old)
+        self.asks() && self.shared() && self.now - since < LOOK && self.fleet.get(to).is_some_and(old)
     }
 
     /// A job that waits in a queue is offered to another worker as a second copy, where that is allowed: news
@@ -476,7 +482,7 @@
         if best.is_none() && job.may_have_run() {
             best = self.least_loaded(self.fleet.ready.iter().copied().filter(fits));
         }
-        if self.s.reporting == Reporting::Probe && self.s.limits.probes {
+        if self.asks() {
             // Of other zones there is no news until it is asked for.
             let far = t.far.iter().take(if full { SAMPLE } else { 0 });
             let first = best.iter().take(if self.shared() { 1 } else { 0 });
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -500,6 +500,36 @@
     assert!((4..=15).contains(&asked), "{asked} calls in a minute");
 }
 
+/// Where answers report the load, a hundred dispatchers hear of a worker once in tens of seconds, and of another zone's
+/// never: its workers were believed as full as the near ones, and stood idle beside them on a calm day.
+#[test]
+fn where_many_share_a_fleet_workers_are_asked_though_answers_report_as_well() {
+    for (balancers, asks) in [(100, true), (4, false)] {
+        let mut s = settings(&[Effect::Safe]);
+        (s.reporting, s.balancers) = (Reporting::Answers, balancers);
+        s.zones.push("there".into());
+        let mut host = Host::new(s, 0);
+        let entry = |at| Listing { zone: if at < 2 { "here" } else { "there" }.into(), ..listing(at) };
+        host.tell(list(ListScope::Complete, (0..4).map(entry).collect()));
+        host.ms += 1000.0;
+        let (mut probed, latency) = (BTreeSet::new(), Span::from_ms(1.0));
+        for id in 0..8 {
+            host.ms += 100.0;
+            let mut told = host.ask(id, 0, Some("k"));
+            while let Some(action) = told.pop() {
+                let Action::Probe(worker) = action else { continue };
+                probed.insert(worker.to_string());
+                let load = LoadReport { free_slots: Some(0.0), queue: Some(30.0), ..LoadReport::default() };
+                let load = if ["w0", "w1"].contains(&&*worker) { Some(load) } else { free(8.0) };
+                told.extend(host.tell(Event::Probed { worker, outcome: Outcome::Served, latency, load }));
+            }
+        }
+        assert_eq!(probed.contains("w2") && probed.contains("w3"), asks, "{balancers}: {probed:?}");
+        let sent = sent_to(&host.ask(100, 0, Some("k")));
+        assert!(!asks || sent.as_deref() == Some("w2") || sent.as_deref() == Some("w3"), "{sent:?}");
+    }
+}
+
 /// After a zone was lost its jobs spent all their attempts, within a second, on workers that were not there.
 #[test]
 fn an_attempt_after_one_that_found_nobody_waits_for_a_probe_too() {
