Call off a job that waits in a queue and offer it elsewhere where copies are not allowed

The switch binds one thing only: `hurry` offered a job that waits to another worker as a copy or not at all (`let copies = limits.second_copies && ...`). Change: where copies are not allowed, the attempt in the queue is called off and, once that is known, the job goes on; never two out, and nothing that must not run twice. What is called off may run all the same, so the gain in the chance to be in time has to be more than twice prices.waste; a job that waits counts as late with a chance of 0.3 at least where it is.

--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -44,6 +44,7 @@
         tells_start: true,
         progress: Span::from_ms(2_000.0),
         cross_zone_price: 0.03,
+        waste_price: 0.02,
         quantum: Span::from_ms(4.0),
         limits: Limits {
             cancel: true,
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -242,6 +242,8 @@
     pub progress: Span,
     /// What an attempt across zones costs, as a part of a request's worth.
     pub cross_zone_price: f64,
+    /// What log workers' work without an answer costs, as a part of the worth of the work that it takes the place of.
+    pub waste_price: f64,
     /// The shortest gap between two calls of `handle`.
     pub quantum: Span,
     /// What the host permits.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -135,6 +135,10 @@
     pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|a| a.fate != Fate::NeverRan)
     }
+    /// As it will be once all that is out is called off.
+    pub fn gives_up(&mut self) {
+        self.attempts.iter_mut().filter(|a| a.fate == Fate::Out).for_each(|a| a.fate = Fate::MayHaveRun);
+    }
     /// When a worker that runs it will have been silent for `patience`, if that is more than nothing.
     pub fn silent_at(&self, patience: Span) -> Option<Time> {
         let out = self.attempts.iter().filter(|a| a.fate == Fate::Out && !a.called_off && patience.0 > 0);
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -41,6 +41,7 @@
 const SILENT: i64 = 2; // times the pause between a worker's words on a job, after which it is called off there
 const HURRY: f64 = 0.25; // part of its aim after which a job not started is offered to another worker,
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
+const WASTE: f64 = 2.0; // times its price: what was called off in a queue may run all the same, and keeps others out
 const LATE: f64 = 0.7; // a job more likely late than this is refused
 const THRIFT: i32 = 2; // the power by which jobs that hold many slots for their worth are refused sooner
 const MOST_USE: f64 = 0.98; // the most use of its slots that the chance of a late start reckons with
@@ -279,28 +280,36 @@
     }
 
     /// A job that waits in a queue is offered to another worker as a second copy, where that is allowed: news
-    /// of free slots is too old to choose well at first. The copy that starts calls off the other.
+    /// of free slots is too old to choose well at first. The copy that starts calls off the other. Where copies are
+    /// not allowed, it is called off first and goes on after: the work that this may waste has its price.
     fn hurry(&mut self, id: RequestId, last: Time, out: &mut Vec<Action>) {
         let Some(job) = self.book.get(id) else { return };
         let (class, limits) = (&self.s.classes[job.class.0], &self.s.limits);
         let waits =
             job.attempts.iter().all(|a| a.fate != Fate::Out || (a.started.is_none() && !a.called_off));
-        let copies = limits.second_copies && limits.cancel && self.s.tells_start;
+        let (copies, offers) = (limits.second_copies, limits.cancel && self.s.tells_start);
         let spent = job.attempts.len() >= limits.max_attempts || self.now >= self.latest_start(job);
         let offer = job.attempts.last().map_or(last, |a| a.sent) + Span((class.aim.0 as f64 * HURRY) as i64);
-        let may = waits && copies && !spent && class.effect != Effect::Unsafe;
+        let may = waits && offers && !spent && class.effect != Effect::Unsafe;
         // A worker that runs it and says nothing: what must not run twice fails at once, the rest goes elsewhere.
         let silent = job.silent_at(Span(self.s.progress.0 * SILENT)).filter(|_| limits.cancel);
-        let (job, next) = (job.clone(), if may && self.now < offer { offer.min(last) } else { last });
+        let (mut job, next) = (job.clone(), if may && self.now < offer { offer.min(last) } else { last });
         self.book.look_at(id, Some(silent.filter(|at| *at > self.now).map_or(next, |at| at.min(next))));
         if silent.is_some_and(|at| at <= self.now) {
             self.call_off(id, true, out);
         }
         if may && self.now >= offer {
+            if !copies {
+                job.gives_up();
+            }
             let to = self.choose(&job, out);
-            let w = to.and_then(|to| self.fleet.get(to));
-            if let (Some(to), true) = (to, w.is_some_and(|w| self.late_chance(w, &job) <= HURRY_LATE)) {
-                self.send(id, to, out);
+            let late = |id: Wid| self.fleet.get(id).map_or(1.0, |w| self.late_chance(w, &job));
+            // News of free slots was wrong there: that it waits says more than they do.
+            let here = job.attempts.last().map_or(1.0, |a| late(a.worker)).max(HURRY_LATE);
+            match to.filter(|to| late(*to) <= HURRY_LATE) {
+                Some(to) if copies => self.send(id, to, out),
+                Some(to) if here - late(to) > WASTE * self.s.waste_price => self.call_off(id, false, out),
+                _ => {}
             }
         }
     }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -25,6 +25,7 @@
         tells_start: true,
         progress: Span::from_ms(2_000.0),
         cross_zone_price: 0.0,
+        waste_price: 0.02,
         quantum: Span::from_ms(4.0),
         limits: Limits {
             cancel: true,
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -286,6 +286,33 @@
     assert!(host.tell(note).contains(&Action::Cancel { request: RequestId(1), attempt: 0 }));
 }
 
+/// Where copies are not allowed, an eighth of the worth was lost to first choices by old news. What must not run twice
+/// stays, and so does all where wasted work is dear.
+#[test]
+fn a_waiting_job_that_may_have_no_copy_is_called_off_and_then_goes_elsewhere() {
+    for (effect, price, moves) in
+        [(Effect::Safe, 0.02, true), (Effect::Safe, 0.5, false), (Effect::Unsafe, 0.02, false)]
+    {
+        let mut s = settings(&[effect]);
+        (s.limits.second_copies, s.waste_price) = (false, price);
+        let mut host = Host::new(s, 4);
+        let first = sent_to(&host.ask(1, 0, Some("k"))).expect("sent");
+        host.ms += 150.0;
+        let told = host.tell(Event::Timer(0));
+        assert_eq!(sent_to(&told), None, "two would be out");
+        assert_eq!(
+            told.contains(&Action::Cancel { request: RequestId(1), attempt: 0 }),
+            moves,
+            "{effect:?} {price}"
+        );
+        if moves {
+            assert!(sent_to(&host.tell(Event::Timer(0))).is_none(), "not before it is known to be off");
+            let second = sent_to(&host.tell(ended(1, 0, Outcome::Cancelled, false, None)));
+            assert!(second.is_some_and(|second| second != first), "it goes elsewhere");
+        }
+    }
+}
+
 #[test]
 fn jobs_with_a_choice_leave_a_kind_that_others_need() {
     let mut s = settings(&[Effect::Safe, Effect::Safe]);
--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -189,6 +189,7 @@
         tells_start: true,
         progress: Span(0),
         cross_zone_price: 0.03,
+        waste_price: 0.02,
         quantum: s.span("tick"),
         limits: Limits {
             cancel: true,
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -216,6 +216,7 @@
         reporting,
         tells_start: pairs.flag("specifics.tells_start", false)?,
         progress: Span::from_ms(pairs.opt_num("specifics.progress_ms")?.unwrap_or(0.0)),
+        waste_price: pairs.opt_num("prices.waste")?.unwrap_or(0.0),
         cross_zone_price: pairs.opt_num("prices.cross_zone")?.unwrap_or(0.0),
         quantum: pairs.span("quantum_ms")?,
         limits: Limits {
