--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -27,6 +27,8 @@
 
 /// As long as nothing changes, a watch says so this often.
 const EMPTY_EVERY: Duration = Duration::from_secs(2);
+/// What a silent watch has missed counts as told so long after it fell silent, by the operators' standing test.
+const SILENCE_COUNTS: Duration = Duration::from_secs(6);
 /// Changes that a watch may be behind; one that is further behind ends, and its dispatcher asks anew.
 const BEHIND: usize = 1024;
 
@@ -66,6 +68,8 @@
     /// What was last written to each dispatcher.
     told: HashMap<(usize, usize), View>,
     told_start: HashMap<(usize, usize), Time>,
+    /// Processes that each dispatcher has had.
+    lives: HashMap<usize, u64>,
 }
 
 struct Inner {
@@ -104,6 +108,7 @@
             free: Time(0),
             told: HashMap::new(),
             told_start: HashMap::new(),
+            lives: HashMap::new(),
         };
         let mode = watch::Sender::new(Mode::Works);
         let changes = broadcast::Sender::new(BEHIND);
@@ -175,6 +180,7 @@
     /// A dispatcher's process is new, and was told nothing yet.
     pub fn forgets(&self, dispatcher: usize) {
         let mut state = self.state();
+        *state.lives.entry(dispatcher).or_default() += 1;
         state.told.retain(|(of, _), _| *of != dispatcher);
         state.told_start.retain(|(of, _), _| *of != dispatcher);
     }
@@ -288,6 +294,31 @@
         }
     }
 
+    /// A watch is over that had been silent since then: the drains that it missed count as told when their time is up,
+    /// whatever else the dispatcher hears or does not hear.
+    fn missed(&self, dispatcher: usize, silent: tokio::time::Instant) {
+        let (life, missed) = {
+            let state = self.state();
+            let life = state.lives.get(&dispatcher).copied();
+            let stops = |worker: &usize| !matches!(state.view[*worker], View::Active(_));
+            (life, (0..state.view.len()).filter(stops).collect::<Vec<_>>())
+        };
+        let registry = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep_until(silent + SILENCE_COUNTS).await;
+            let mut state = registry.state();
+            if state.lives.get(&dispatcher).copied() != life {
+                return;
+            }
+            for worker in missed {
+                let view = state.view[worker];
+                if !matches!(view, View::Active(_)) {
+                    registry.writes(&mut state, dispatcher, worker, view);
+                }
+            }
+        });
+    }
+
     /// Tells a watch what changes, until nobody listens or discovery goes down.
     async fn follow(&self, dispatcher: usize, say: mpsc::Sender<Said>) {
         let mut changes = self.0.changes.subscribe();
@@ -305,10 +336,12 @@
                 match now {
                     Mode::Refuses => return drop(say.send(Err(Reset)).await),
                     Mode::Silent => {
+                        let silent = tokio::time::Instant::now();
                         tokio::select! {
                             _ = mode.changed() => {}
                             // Whoever waits no longer is told nothing.
-                            () = say.closed() => return,
+                            () = say.closed() => return self.missed(dispatcher, silent),
+                            () = tokio::time::sleep(SILENCE_COUNTS) => self.missed(dispatcher, silent),
                         }
                         // What changed in the meantime comes with the whole list.
                         if *mode.borrow() != Mode::Silent {
--- a/crates/rookspoke/tests/rehearsal.rs
+++ b/crates/rookspoke/tests/rehearsal.rs
@@ -10,6 +10,7 @@
 use rookspoke_emulator::scenario::{Faults, Scenario, Stage};
 use rookspoke_emulator::script;
 use rookspoke_rig::play::{Options, Outcome, PlayError, Rig, Verdict};
+use rookspoke_rig::registry::View;
 use rookspoke_rig::seen::{End, Life, Seen};
 use rookspoke_rig::ways::Way;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -264,6 +265,39 @@
     });
 }
 
+/// All watches fall silent at once, and stay so; a third of the log workers begin to drain right after, and stay up. What
+/// was missed counts as told after 6 s though nothing brings it: by then nobody sends anything to anybody.
+#[test]
+fn drains_that_silent_watches_have_missed_are_kept_by_all_dispatchers() {
+    multi(async {
+        let text = "length 14s\ndispatchers 4\nworkers 6\nclients.load 0.4\nclients.swing 0\n\
+                    incident discovery-silent at 1s for 11s";
+        let mut tries = 0;
+        let (rig, outcome) = loop {
+            let rig = rig(text).await;
+            let drains = {
+                let rig = rig.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(1300)).await;
+                    (0..2).for_each(|worker| rig.registry.sees(worker, View::Draining));
+                })
+            };
+            rig.play().await.unwrap_or_else(|error| panic!("{error}"));
+            drains.await.expect("they drain");
+            let outcome = rig.outcome().await;
+            tries += 1;
+            if outcome.verdict != Verdict::Void || tries == 4 {
+                break (rig, outcome);
+            }
+        };
+        kept(&outcome);
+        let told = rig.watch.count(|seen| matches!(seen, Seen::Told { takes: false, .. }));
+        assert_eq!(told, 8, "each of four was told of two, in the end");
+        let end = outcome.report.windows.last().expect("a window").service;
+        assert!(end > 0.3, "they serve again once a list is there: {end}");
+    });
+}
+
 /// Its body never came whole, so nothing ran: neither at the daemon that is killed nor behind a slow link.
 #[test]
 fn a_dispatcher_killed_in_the_middle_of_a_body_has_run_nothing() {
@@ -312,6 +346,25 @@
     });
 }
 
+/// Clients go on over the connections that they have, one log worker hangs: each process ends by itself, all that it took
+/// is answered, and its next one serves.
+#[test]
+fn all_dispatchers_restarted_in_turn_lose_nothing_and_end_by_themselves() {
+    multi(async {
+        let text = "length 18s\ndispatchers 6\nworkers 10\nclients.load 0.4\nclients.swing 0\n\
+                    incident restart at 2s for 9s part 1\nincident pause at 3s for 6s part 0.1";
+        let (rig, outcome) = valid(text).await;
+        kept(&outcome);
+        let lived = |which: Life| {
+            rig.watch.count(|seen| matches!(seen, Seen::Dispatcher { life, .. } if *life == which))
+        };
+        assert_eq!((lived(Life::Terminated), lived(Life::Ended), lived(Life::Killed)), (6, 6, 0));
+        let lost = rig.watch.count(|seen| matches!(seen, Seen::Closed { end: End::Lost, .. }));
+        assert_eq!(lost, 0, "taken and not answered");
+        assert!(rig.in_front() == 6 && outcome.report.service > 0.6, "{:?}", outcome.report);
+    });
+}
+
 #[test]
 fn a_rig_that_runs_late_calls_its_play_void() {
     // One thread for all of the rig, and somebody who holds it up.
