Tell that discovery has moved from the resolver, after all that the old one said

Need: found on a last read. SIGHUP told the decisions before it told the resolver; a change of the old discovery in between would have cleared the four seconds that the new one has, and a failed call after it would have counted as a watch that ended. Change: the resolver tells it, when it leaves the old address.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -157,8 +157,6 @@
     /// Takes the list of log workers from elsewhere from now on. Nothing else changes: what is under way goes
     /// on, and so do connections to log workers that the new list still holds.
     pub async fn take_list_from(&self, source: ListSource) {
-        // Before anything comes from there.
-        self.handle.list(ListScope::Moved, Arc::new([])).await;
         // The resolver lives as long as the channel's own tasks.
         let _ = self.orders.send(Order::Move(source)).await;
     }
@@ -492,6 +490,7 @@
                         ready.send_replace(true);
                     }
                     ResolverResult::Failed => handle.list(ListScope::Failed, Arc::new([])).await,
+                    ResolverResult::Moved => handle.list(ListScope::Moved, Arc::new([])).await,
                     ResolverResult::Silent(since) => {
                         let since = clock.at(since);
                         handle.list(ListScope::Silent { since }, Arc::new([])).await;
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -44,6 +44,8 @@
     Failed,
     /// The watch was given up; its last word came then.
     Silent(Instant),
+    /// What comes from now on comes from elsewhere.
+    Moved,
 }
 
 /// Why a call to discovery failed.
@@ -120,6 +122,7 @@
                 tracing::info!("the list comes from {} now, and no longer from {}", source, self.source);
                 // What another service calls a version proves nothing here.
                 (self.source, self.rev) = (source, None);
+                tell(ResolverResult::Moved).await;
             }
             let done = async {
                 match (self.source.clone(), watched) {
--- a/crates/decisions/src/list_age.rs
+++ b/crates/decisions/src/list_age.rs
@@ -11,9 +11,9 @@
 //! | asked for: the call failed | the same; four times `ask_every` after the call, if that is later | after a share of discovery's work |
 //! | the watch fell silent | 6 s after its last word, if the above is not earlier | at once, spread over what is left |
 //! | discovery moved (SIGHUP) | 4 s after, if the above is not earlier | by the host at once, then as above |
-//! | pushed: the watch ended, or a call to the agent failed | half a second after the call began | within 0.2 s |
-//! | pushed: the watch fell silent, or discovery moved | 6 s and 4 s, as above | within 0.2 s |
-//! | pushed: the agent itself is silent: three calls in a row fail | half a second after the last call began | within 0.2 s |
+//! | pushed: the watch ended, or a call to the agent failed | half a second after the call began | within a quarter of a second |
+//! | pushed: the watch fell silent, or discovery moved | 6 s and 4 s, as above | within a quarter of a second |
+//! | pushed: the agent itself is silent: three calls in a row fail | half a second after the last call began | within a quarter of a second |
 //! | asked for: nothing was heard since the start | as if a watch had ended at the start | by the host at once |
 //! | pushed: nothing was heard since the start | until its host says that the first call failed | by the host at once |
 //!
