--- a/crates/rookspoke/tests/platform.rs
+++ b/crates/rookspoke/tests/platform.rs
@@ -404,9 +404,7 @@
     let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
     let mut watches = Vec::new();
     for part in [chunk.len() / 2, chunk.len()] {
-        let (mut stream, _) = listener.accept().expect("a watch");
-        let request = read_message(&mut BufReader::new(stream.try_clone().expect("a clone")));
-        assert!(request.is_some_and(|request| request.first.contains("watch=1")));
+        let mut stream = called(&listener);
         for byte in format!("{head}{}", &chunk[..part]).bytes() {
             stream.write_all(&[byte]).expect("sent");
         }
@@ -418,11 +416,17 @@
     daemon.wait_counters("http", &["lists=1", "lists_failed=1"]);
 }
 
-/// Reads the call for a watch, and answers with these lines.
-fn watched(listener: &std::net::TcpListener, lines: &[&str]) -> std::net::TcpStream {
-    let (mut stream, _) = listener.accept().expect("a call");
+/// Reads a call for a watch.
+fn called(listener: &std::net::TcpListener) -> std::net::TcpStream {
+    let (stream, _) = listener.accept().expect("a watch");
     let request = read_message(&mut BufReader::new(stream.try_clone().expect("a clone")));
     assert!(request.is_some_and(|request| request.first.contains("watch=1")));
+    stream
+}
+
+/// Reads a call for a watch, and answers with these lines.
+fn watched(listener: &std::net::TcpListener, lines: &[&str]) -> std::net::TcpStream {
+    let mut stream = called(listener);
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("sent");
     for line in lines {
         stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).expect("sent");
--- a/crates/rookspoke/tests/rehearsal.rs
+++ b/crates/rookspoke/tests/rehearsal.rs
@@ -1,5 +1,6 @@
 //! Several real processes under failure, on the rig: what they do to each other's clients and log workers.
 
+use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -47,16 +48,27 @@
 
 /// Plays a script to its end.
 async fn play(text: &str) -> (Arc<Rig>, Outcome) {
+    play_while(text, |_| async {}).await
+}
+
+/// Plays a script to its end, and does something beside it.
+async fn play_while<F: Future<Output = ()>>(text: &str, beside: fn(Arc<Rig>) -> F) -> (Arc<Rig>, Outcome) {
     let rig = rig(text).await;
-    rig.play().await.unwrap_or_else(|error| panic!("{error}"));
+    let (played, ()) = tokio::join!(rig.play(), beside(rig.clone()));
+    played.unwrap_or_else(|error| panic!("{error}"));
     let outcome = rig.outcome().await;
     (rig, outcome)
 }
 
 /// A play whose rig ran too late proves nothing, whatever came of it: it is played again.
 async fn valid(text: &str) -> (Arc<Rig>, Outcome) {
+    valid_while(text, |_| async {}).await
+}
+
+/// The same with something done beside it each time.
+async fn valid_while<F: Future<Output = ()>>(text: &str, beside: fn(Arc<Rig>) -> F) -> (Arc<Rig>, Outcome) {
     for _ in 0..4 {
-        let (rig, outcome) = play(text).await;
+        let (rig, outcome) = play_while(text, beside).await;
         if outcome.verdict != Verdict::Void {
             return (rig, outcome);
         }
@@ -272,24 +284,11 @@
     multi(async {
         let text = "length 14s\ndispatchers 4\nworkers 6\nclients.load 0.4\nclients.swing 0\n\
                     incident discovery-silent at 1s for 11s";
-        let mut tries = 0;
-        let (rig, outcome) = loop {
-            let rig = rig(text).await;
-            let drains = {
-                let rig = rig.clone();
-                tokio::spawn(async move {
-                    tokio::time::sleep(Duration::from_millis(1300)).await;
-                    (0..2).for_each(|worker| rig.registry.sees(worker, View::Draining));
-                })
-            };
-            rig.play().await.unwrap_or_else(|error| panic!("{error}"));
-            drains.await.expect("they drain");
-            let outcome = rig.outcome().await;
-            tries += 1;
-            if outcome.verdict != Verdict::Void || tries == 4 {
-                break (rig, outcome);
-            }
-        };
+        let (rig, outcome) = valid_while(text, |rig| async move {
+            tokio::time::sleep(Duration::from_millis(1300)).await;
+            (0..2).for_each(|worker| rig.registry.sees(worker, View::Draining));
+        })
+        .await;
         kept(&outcome);
         let told = rig.watch.count(|seen| matches!(seen, Seen::Told { takes: false, .. }));
         assert_eq!(told, 8, "each of four was told of two, in the end");
