See a client leave behind unread bytes, and linger where a close would reset its answer

Seen: hyper reads no further while a request is under way and further bytes wait, so a FIN behind a pipelined request or a flood was noticed only after the answer, and the job went on to further attempts. A close over unread bytes (a body that was turned down, a pipelined request behind a last answer) resets the connection.

To blame: front.rs `open`, which knew of the client only what the library told, and dropped the socket at the library's end.

Change: guard `SocketEnd`, a second hold on the socket. `closed_by_client` asks the readiness for a closed side, and looks every 20 ms only while bytes lie unread; `linger` shuts our side and waits for the client's close, 300 ms at most. Only after what was turned down it reads and drops (256 KiB at most): else a request that crossed the close stays unread, and its client sends it again. Whoever has to make room does not linger.

--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use door::Door;
 pub use room::{Patience, Place, Room};
-pub use socket::{Framed, Socket};
+pub use socket::{Framed, Socket, SocketEnd};
--- a/crates/guard/src/socket.rs
+++ b/crates/guard/src/socket.rs
@@ -7,10 +7,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::framing::Framing;
@@ -40,6 +41,68 @@
     }
 }
 
+/// How often a socket with bytes that nobody reads is looked at for its end: the runtime tells of the bytes alone.
+const LOOK: Duration = Duration::from_millis(20);
+/// What a client that still sends may send in vain before its connection is closed.
+const DISCARDED: usize = 256 * 1024;
+
+/// A second hold on a client's socket, for its end.
+pub struct SocketEnd(Arc<TcpStream>);
+
+impl Socket {
+    /// A second hold on it: the socket stays open until this is dropped, too.
+    pub fn end(&self) -> SocketEnd {
+        SocketEnd(self.0.clone())
+    }
+}
+
+impl SocketEnd {
+    /// Ends once the client has closed its side or reset the connection, also where that lies behind bytes that nobody
+    /// has read.
+    pub async fn closed_by_client(&self) {
+        loop {
+            let Ok(ready) = self.0.ready(Interest::READABLE).await else { return };
+            if ready.is_read_closed() {
+                return;
+            }
+            match SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// A lingering close, after the last answer: a close over bytes that nobody has read resets the connection, and the
+    /// answer may be lost with it. So this waits for the client's own close, for `within` at most. Where `discard` says
+    /// that nothing more is a request, what comes meanwhile is read and dropped, lest a client that still sends never
+    /// comes to read; else it stays unread, and its client knows that nobody has taken it.
+    pub async fn linger(&self, within: Duration, discard: bool) {
+        let _ = SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write);
+        let _ = match discard {
+            true => tokio::time::timeout(within, self.discard()).await,
+            false => tokio::time::timeout(within, self.closed_by_client()).await,
+        };
+    }
+
+    async fn discard(&self) {
+        let mut left = DISCARDED;
+        while left > 0 {
+            if self.0.readable().await.is_err() {
+                return;
+            }
+            match self.0.try_read(&mut [0; READ]) {
+                Ok(0) => return,
+                Ok(read) => left = left.saturating_sub(read),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         loop {
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +40,8 @@
 const FINISH: Duration = Duration::from_millis(2600);
 /// A request that has reached the machine by the end is read within this time.
 const LAST_LOOK: Duration = Duration::from_millis(100);
+/// A client that has its last answer closes its side within this time, or the connection is closed on it.
+const LINGER: Duration = Duration::from_millis(300);
 
 /// Serves clients on a listener.
 pub struct Front {
@@ -119,14 +121,20 @@
     ) {
         let (serving, answers) = (self.serving.clone(), Arc::new(AtomicU64::new(0)));
         let counters = serving.channel().counters().clone();
-        let unread = socket.unread();
+        let (unread, end) = (socket.unread(), socket.end());
         let framed = Framed::new(socket, place.clone(), answers.clone());
         connections.spawn(async move {
             let ends = closing.clone();
+            let turned_down = Arc::new(AtomicBool::new(false));
+            let (given, last) = (answers.clone(), turned_down.clone());
             let service = service_fn(move |request| {
-                let (serving, answers, ends) = (serving.clone(), answers.clone(), ends.clone());
+                let (serving, answers, ends) = (serving.clone(), given.clone(), ends.clone());
+                let last = last.clone();
                 async move {
                     let mut response = route(serving, request).await;
+                    if let Ok(response) = &response {
+                        last.store(response.status().is_client_error(), Ordering::Release);
+                    }
                     if let (Ok(response), true) = (&mut response, *ends.borrow()) {
                         response.headers_mut().insert(header::CONNECTION, CLOSE);
                     }
@@ -137,22 +145,19 @@
             let connection = http1::Builder::new()
                 .max_buf_size(MAX_BUFFER)
                 .serve_connection(TokioIo::new(framed), service);
-            let mut connection = std::pin::pin!(connection);
+            let mut connection = Box::pin(connection);
             let mut told_to_end = false;
-            loop {
+            let malformed = loop {
                 tokio::select! {
                     // The connection first: what has come saves it from having to leave.
                     biased;
-                    done = connection.as_mut() => {
-                        if done.is_err_and(|error| error.is_parse()) {
-                            counters.malformed.add();
-                        }
-                        return;
-                    }
+                    done = connection.as_mut() => break done.is_err_and(|error| error.is_parse()),
                     () = place.told_to_leave() => {
                         counters.closed.add();
                         return;
                     }
+                    // Behind bytes that the library has not read it does not see this, and would go on with the job.
+                    () = end.closed_by_client() => return,
                     () = async { drop(closing.wait_for(|closing| *closing).await) }, if !told_to_end => {
                         told_to_end = true;
                         // A shut-down library reads nothing more, not even what is here already, and closes on
@@ -166,7 +171,21 @@
                         connection.as_mut().graceful_shutdown();
                     }
                 }
+            };
+            drop(connection);
+            if malformed {
+                counters.malformed.add();
+            } else if answers.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            let discard = malformed || turned_down.load(Ordering::Acquire);
+            tokio::select! {
+                () = end.linger(LINGER, discard) => {}
+                () = place.told_to_leave() => {}
             }
+            // Its place is free only once the socket is closed.
+            drop(end);
+            drop(place);
         });
     }
 }
