Force the six seconds of a list and a client's leaving through real connections

list.rs: a discovery that is up and fails every call in one of six ways, asked and pushed, ask_every at 200 s and at 0.4 s: until 4.5 s jobs are sent, from 6.05 s on none; the job that waits is served once a list is there. A process stopped for 7 s with a connection on the way sends nothing at its wake. leaving.rs: FIN, RST, FIN behind a further request, half of one and a flood; 300 in one burst waiting for a list, before a further attempt, on a connection that comes up late (calling off allowed or not), with confirmations that run; counted in the log workers' books.

--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -416,6 +416,64 @@
            "state": state, "capacity_hint": 1.0, "boot_ms": 0})
 }
 
+/// A log worker whose connections come up late: its listener is full until it opens, and the system then takes those who
+/// try again. Requests are counted and never answered.
+pub struct Late {
+    uid: String,
+    listener: Mutex<Option<socket2::Socket>>,
+    address: SocketAddr,
+    /// Keep its listener full.
+    full: Mutex<Vec<TcpStream>>,
+    seen: Arc<AtomicU32>,
+}
+
+impl Late {
+    pub fn start(uid: &str) -> Self {
+        let listener =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
+        listener.bind(&any.into()).expect("a port");
+        listener.listen(0).expect("a listener");
+        let address = listener.local_addr().expect("an address").as_socket().expect("an address");
+        let short = Duration::from_millis(100);
+        let full = std::iter::from_fn(|| TcpStream::connect_timeout(&address, short).ok()).take(64).collect();
+        Late {
+            uid: uid.into(),
+            listener: Some(listener).into(),
+            address,
+            full: Mutex::new(full),
+            seen: Arc::default(),
+        }
+    }
+
+    pub fn entry(&self, state: &str) -> Value {
+        entry(&self.uid, self.address, state)
+    }
+
+    /// Accepts from now on.
+    pub fn opens(&self) {
+        let listener = self.listener.lock().expect("a listener").take().expect("opened once");
+        let (listener, seen) = (TcpListener::from(listener), self.seen.clone());
+        self.full.lock().expect("connections").clear();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let seen = seen.clone();
+                thread::spawn(move || {
+                    let mut from = BufReader::new(stream);
+                    while read_message(&mut from).is_some() {
+                        seen.fetch_add(1, Ordering::SeqCst);
+                    }
+                });
+            }
+        });
+    }
+
+    /// Requests that came.
+    pub fn count(&self) -> usize {
+        self.seen.load(Ordering::SeqCst) as usize
+    }
+}
+
 /// An answer in chunks, one object to each.
 pub fn objects(to: &mut TcpStream, objects: &[Value], end: bool) {
     let mut text = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
