--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -321,16 +321,17 @@
         })
     }
 
-    /// Ends only when the client is gone. A command that comes early is kept for later; then there is no
-    /// telling any more.
+    /// Ends only when the client is gone. A command that comes early is kept for later; what lies behind it is not
+    /// read, but the socket still tells of its end.
     async fn gone(&mut self) {
+        let end = self.frames.get_ref().end();
         if self.next.is_none() {
             match self.frames.next().await {
                 None | Some(Err(_)) => return,
                 early => self.next = Some(early),
             }
         }
-        std::future::pending().await
+        end.closed_by_client().await;
     }
 
     async fn push(&mut self, job: Job) -> Option<Reply> {
--- a/crates/rookspoke/tests/common/faktory.rs
+++ b/crates/rookspoke/tests/common/faktory.rs
@@ -53,6 +53,11 @@
         sent.expect("the command is sent");
     }
 
+    /// Says this much more, as it stands, and leaves without reading.
+    pub fn part(mut self, last: &str) {
+        self.from.get_mut().write_all(last.as_bytes()).expect("sent");
+    }
+
     /// The next reply: a line as it is, bulk bytes as text, and `nil`.
     pub fn reply(&mut self) -> String {
         let mut line = String::new();
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -78,6 +78,30 @@
 }
 
 /// The hard case: nobody can tell whether the job ran, so nobody else may get it.
+/// Its job has not been accepted, so it may push it again elsewhere: what comes behind the push hides nothing.
+#[test]
+fn a_job_whose_producer_left_before_its_reply_is_handed_to_nobody() {
+    let daemon = daemon(ON);
+    let at = daemon.address("faktory");
+    for (number, behind) in ["", "INFO", "INF", "INFO\r\nINFO"].iter().enumerate() {
+        let mut leaves = Peer::producer(at);
+        leaves.tell(&format!("PUSH {}", job(&format!("job-gone-{number}"), "log-lookup")));
+        wait_for("the push", || {
+            daemon.counters("faktory").contains(&format!(" taken={} ", number + 1)).then_some(())
+        });
+        leaves.part(behind);
+    }
+    daemon.wait_counters("faktory", &["taken=4", "client_gone=4", "sent=0"]);
+    let mut consumer = Peer::consumer(at, "c-1");
+    assert_eq!(consumer.say("FETCH default"), "nil", "handed out for a producer that had left");
+    let mut stays = Peer::producer(at);
+    assert_eq!(stays.push(&job("job-stays", "log-lookup")), "+OK");
+    consumer.tell("FETCH default");
+    assert_eq!(consumer.fetched()["jid"], "job-stays");
+    assert_eq!(consumer.ack("job-stays"), "+OK");
+    daemon.wait_counters("faktory", &["taken=5", "client_gone=4", "served=1"]);
+}
+
 #[test]
 fn a_confirmation_whose_consumer_disconnects_is_failed_and_never_handed_out_again() {
     let daemon = daemon(ON);
--- a/crates/rookspoke/tests/plugin.rs
+++ b/crates/rookspoke/tests/plugin.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 
 use bytes::{Buf, BufMut};
-use common::world::{config, objects, serve, state, Behaviour, Discovery, Worker};
+use common::world::{config, objects, serve, state, Behaviour, Discovery, Late, Worker, PATIENCE};
 use rookspoke_channel::Channel;
 use rookspoke_config::Config;
 use tonic::codec::{Codec, DecodeBuf, Decoder, EncodeBuf, Encoder};
@@ -80,6 +80,39 @@
     assert_eq!((seen.first.as_str(), &seen.body[..]), ("POST /qso-confirm/station-1 HTTP/1.1", &b"who?"[..]));
 }
 
+/// A dropped future is a client that left: nothing begins for it, though its attempt was on the way to a connection.
+#[test]
+fn a_call_that_is_dropped_is_sent_no_more() {
+    for cancel in [true, false] {
+        let worker = Late::start("w-1");
+        let discovery = Discovery::start(vec![worker.entry("active")]);
+        let mut config = config(discovery.address);
+        config["settings"]["limits"]["connect_timeout_ms"] = 9_000.0.into();
+        config["settings"]["limits"]["cancel"] = cancel.into();
+        let config = Config::read(&config.to_string()).expect("a configuration");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let (mut channel, core) = Channel::start(&config);
+            tokio::spawn(core);
+            channel.ready().await;
+            let request = http::Request::post("/log-lookup/a").header("x-correlation-id", "00000000000000ab");
+            let request = request.header("x-service-class", "log-lookup").header("x-time-left-ms", "9000");
+            let request = request.body(http_body_util::Full::new(bytes::Bytes::new())).expect("a request");
+            let call = tower::Service::call(&mut channel, request);
+            assert!(tokio::time::timeout(std::time::Duration::from_millis(200), call).await.is_err());
+            assert_eq!(channel.counters().sent.get(), 1);
+            worker.opens();
+            let counters = channel.counters();
+            let ended = || counters.cancelled.get() + counters.not_sent.get() + counters.written.get() > 0;
+            let start = std::time::Instant::now();
+            while !ended() && start.elapsed() < PATIENCE {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            assert_eq!((channel.counters().written.get(), worker.count()), (0, 0));
+        });
+    }
+}
+
 /// Only what never ran is `Unavailable`, which clients may try again.
 #[test]
 fn a_refusal_is_unavailable_and_a_failure_is_not() {
