Fail a keyed job at once when its window is over, and blame nobody for a second answer

Seen: a keyed job whose first attempt broke off after its window waited for 5.2 s, until it was late, for a repeat that could never go out (brain.rs advance: stuck was for classes that never run twice alone). A second answer that comes milliseconds late meets the next job on the kept connection; that was taken for a broken log worker, which nobody used for half a second (subchannel.rs follow). It counts as a kept connection that broke: no blame, and confirmations go over new ones for a while.

--- a/crates/channel/src/connection.rs
+++ b/crates/channel/src/connection.rs
@@ -117,6 +117,8 @@
     written: Arc<Written>,
     /// When it was last put to use.
     pub idle_since: Instant,
+    /// It has carried a request before the one on it.
+    pub kept: bool,
     /// The process start that discovery told of when it was opened.
     pub epoch: u64,
     _task: ConnectionTask,
@@ -154,7 +156,15 @@
         let task = ConnectionTask(tokio::spawn(async move {
             let _ = connection.await;
         }));
-        Ok(Connection { sender, written, idle_since: Instant::now(), epoch, _task: task, _room: room })
+        Ok(Connection {
+            sender,
+            written,
+            idle_since: Instant::now(),
+            kept: false,
+            epoch,
+            _task: task,
+            _room: room,
+        })
     }
 
     /// Whether the other side has closed it.
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -195,7 +195,7 @@
     }
 
     fn keep(&self, mut connection: Connection) {
-        connection.idle_since = Instant::now();
+        (connection.idle_since, connection.kept) = (Instant::now(), true);
         let mut idle = lock(&self.0.idle);
         let current = connection.epoch == self.0.epoch.load(Ordering::Acquire) && !self.is_banned();
         if current && idle.len() < MAX_IDLE {
@@ -339,6 +339,11 @@
             };
             if object.id.as_bytes() != attempt.call.id.as_bytes() {
                 tracing::warn!("{}: an answer to another request", self.0.name);
+                // A second answer to the one before, that came too late to be seen there: the log worker may be well.
+                if connection.kept {
+                    *lock(&shared.severed) = Some(Instant::now());
+                    break Err(Outcome::Severed);
+                }
                 break Err(Outcome::ConnectionLost);
             }
             if let Some(map) = &object.load {
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -239,7 +239,8 @@
         }
         let class = &self.s.classes[job.class.0];
         let late = class.late_worth == 0.0 && self.now >= self.latest_start(job);
-        let stuck = job.may_have_run() && class.effect == Effect::Unsafe;
+        let over = job.repeat_by(class.effect, REACH).is_some_and(|at| at <= self.now + self.s.quantum);
+        let stuck = over || job.may_have_run() && class.effect == Effect::Unsafe;
         if late || stuck || job.attempts.len() >= self.s.limits.max_attempts {
             return self.conclude(id, out);
         }
