--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinSet;
 use tower::{Service, ServiceExt};
 
-use rookspoke_guard::{Door, Patience, Place, Room, Socket};
+use rookspoke_guard::{ConnectionLimit, Listener, Patience, Permit, Socket};
 
 /// Callers at a time: a few operators and programs, and as many who say nothing. The oldest of these leaves first.
 pub const PLACES: usize = 16;
@@ -174,26 +174,26 @@
 
 /// Answers on a listener for as long as it is polled.
 pub async fn serve<D: Desk>(listener: TcpListener, desk: D) {
-    let room = Room::new(PLACES, PATIENCE);
-    let mut door = Door::new(listener, room);
+    let limit = ConnectionLimit::new(PLACES, PATIENCE);
+    let mut listener = Listener::new(listener, limit);
     let mut callers = JoinSet::new();
     loop {
         tokio::select! {
-            (socket, place) = door.next() => drop(callers.spawn(serve_one(socket, place, desk.clone()))),
+            (socket, permit) = listener.next() => drop(callers.spawn(serve_one(socket, permit, desk.clone()))),
             Some(_) = callers.join_next() => {}
         }
     }
 }
 
-async fn serve_one<D: Desk>(socket: Socket, place: Place, desk: D) {
-    let owed = place.clone();
+async fn serve_one<D: Desk>(socket: Socket, permit: Permit, desk: D) {
+    let owed = permit.clone();
     let service = service_fn(move |request| {
-        let (calls, place) = (Calls(desk.clone()), owed.clone());
+        let (calls, permit) = (Calls(desk.clone()), owed.clone());
         async move {
             match whole(request).await {
                 Ok(request) => {
                     // Who has said all is owed an answer: no crowd takes the place away.
-                    place.owes();
+                    permit.owes();
                     calls.oneshot(request).await
                 }
                 Err(response) => Ok(response),
@@ -207,6 +207,6 @@
     tokio::select! {
         biased;
         _ = connection => {}
-        () = place.told_to_leave() => {}
+        () = permit.told_to_leave() => {}
     }
 }
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -21,7 +21,7 @@
     Ban, ClassId, Effect, ListScope, Listing, Name, Outcome, Settings, SettingsError, Span,
 };
 use rookspoke_dispatch::{request_span, Answer, Ask, Clock, Core, Counters, Handle, Limits};
-use rookspoke_guard::{Door, Place, Room, Socket};
+use rookspoke_guard::{ConnectionLimit, Listener, Permit, Socket};
 
 /// A FETCH that finds nothing waits this long, as the specification has it.
 const FETCH_WAIT: Duration = Duration::from_secs(2);
@@ -70,7 +70,7 @@
 /// The work server.
 pub struct Server {
     shared: Arc<Shared>,
-    room: Room,
+    limit: ConnectionLimit,
     reconnect: Duration,
     close: watch::Sender<bool>,
 }
@@ -115,8 +115,8 @@
         let jids = Mutex::default();
         let open = watch::Sender::new(0);
         let shared = Shared { hall, handle, clock, settings, class_time, active, closing, jids, open };
-        let room = Room::new(config.max_connections, SILENT);
-        (Server { shared: Arc::new(shared), room, reconnect: config.reconnect(), close }, core)
+        let limit = ConnectionLimit::new(config.max_connections, SILENT);
+        (Server { shared: Arc::new(shared), limit, reconnect: config.reconnect(), close }, core)
     }
 
     /// What operators may ask of it.
@@ -132,7 +132,7 @@
     /// Serves until `stop` ends; then takes no new jobs, and ends when those taken have their answers.
     pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
         let mut connections = JoinSet::new();
-        let mut door = Door::new(listener, self.room.clone());
+        let mut listener = Listener::new(listener, self.limit.clone());
         let mut sweep = tokio::time::interval(SWEEP);
         let mut open = self.shared.open.subscribe();
         let finish = async {
@@ -144,7 +144,7 @@
         let mut finish = std::pin::pin!(finish);
         loop {
             tokio::select! {
-                (socket, place) = door.next() => self.open(socket, place, &mut connections),
+                (socket, permit) = listener.next() => self.open(socket, permit, &mut connections),
                 Some(_) = connections.join_next() => {}
                 _ = sweep.tick() => {
                     let ago = |time| Instant::now().checked_sub(time);
@@ -158,16 +158,16 @@
         }
     }
 
-    fn open(&self, socket: Socket, place: Place, connections: &mut JoinSet<()>) {
+    fn open(&self, socket: Socket, permit: Permit, connections: &mut JoinSet<()>) {
         let shared = self.shared.clone();
         connections.spawn(async move {
             let frames = Framed::new(socket, Codec::default());
-            let mut connection = Connection { shared, frames, next: None, wid: None, place: place.clone() };
+            let mut connection = Connection { shared, frames, next: None, wid: None, permit: permit.clone() };
             let ended = tokio::select! {
                 // The connection first: what has come saves it from having to leave.
                 biased;
                 ended = connection.serve() => ended,
-                () = place.told_to_leave() => {
+                () = permit.told_to_leave() => {
                     connection.shared.handle.counters().closed.add();
                     Ok(())
                 }
@@ -249,7 +249,7 @@
     next: Option<Option<io::Result<Result<Command, BadCommand>>>>,
     wid: Option<Name>,
     // Behind the socket: it is free only once that is closed.
-    place: Place,
+    permit: Permit,
 }
 
 impl Connection {
@@ -257,7 +257,7 @@
         self.reply(Reply::Simple(format!("HI {{\"v\":{VERSION}}}"))).await?;
         match self.frames.next().await {
             Some(Ok(Ok(Command::Hello(hello)))) if hello.v == VERSION => {
-                self.place.owes();
+                self.permit.owes();
                 self.wid = hello.wid.filter(|wid| !wid.is_empty()).map(Name::from);
                 if let Some(wid) = &self.wid {
                     self.shared.hall.join(wid);
@@ -277,12 +277,12 @@
                 None => {
                     // A consumer may hold jobs, and is there to be given more.
                     if self.wid.is_none() {
-                        self.place.idles();
+                        self.permit.idles();
                     }
                     self.frames.next().await
                 }
             };
-            self.place.owes();
+            self.permit.owes();
             let reply = match command {
                 None => return Ok(()),
                 Some(Err(error)) => return Err(error),
--- a/crates/guard/src/room.rs
+++ b/crates/guard/src/limit.rs
@@ -65,19 +65,19 @@
 
 /// A fixed number of places.
 #[derive(Clone)]
-pub struct Room(Arc<Shared>);
+pub struct ConnectionLimit(Arc<Shared>);
 
-impl Room {
+impl ConnectionLimit {
     /// A room of `capacity` places.
     pub fn new(capacity: usize, patience: Patience) -> Self {
         let (capacity, seats, freed) = (capacity.into(), Mutex::default(), Notify::new());
-        Room(Arc::new(Shared { capacity, patience, seats, freed }))
+        ConnectionLimit(Arc::new(Shared { capacity, patience, seats, freed }))
     }
 
     /// Takes a place. Without a free one, somebody is told to leave, and the place is there once they have:
     /// the oldest of those who never sent a whole request, else who has been idle for the longest; nobody
     /// whose request waits unread, and nobody who is owed an answer.
-    pub fn enter(&self, unread: impl Fn() -> bool + Send + 'static) -> Option<Place> {
+    pub fn enter(&self, unread: impl Fn() -> bool + Send + 'static) -> Option<Permit> {
         let mut seats = self.0.lock();
         if seats.taken.len() >= self.0.capacity.load(Ordering::Relaxed) {
             if seats.leaving == 0 {
@@ -88,7 +88,7 @@
         Some(self.seat(&mut seats, Box::new(unread)))
     }
 
-    /// Has another number of places from now on. Whoever is beyond the last leaves as in [`Room::enter`].
+    /// Has another number of places from now on. Whoever is beyond the last leaves as in [`ConnectionLimit::enter`].
     pub fn resize(&self, capacity: usize) {
         self.0.capacity.store(capacity, Ordering::Relaxed);
         let mut seats = self.0.lock();
@@ -98,17 +98,17 @@
     }
 
     /// Takes a place even beyond the last: for the few that wait when no others can come any more.
-    pub fn squeeze_in(&self, unread: impl Fn() -> bool + Send + 'static) -> Place {
+    pub fn squeeze_in(&self, unread: impl Fn() -> bool + Send + 'static) -> Permit {
         self.seat(&mut self.0.lock(), Box::new(unread))
     }
 
-    fn seat(&self, seats: &mut Seats, unread: Box<dyn Fn() -> bool + Send>) -> Place {
+    fn seat(&self, seats: &mut Seats, unread: Box<dyn Fn() -> bool + Send>) -> Permit {
         let (number, leave) = (seats.next, Arc::new(Notify::new()));
         let seat =
             Seat { stage: Stage::New, since: Instant::now(), leave: leave.clone(), leaving: false, unread };
         seats.taken.insert(number, seat);
         seats.next += 1;
-        Place(Arc::new(Taken { room: self.clone(), number, leave }))
+        Permit(Arc::new(Taken { limit: self.clone(), number, leave }))
     }
 
     /// Ends when a place has become free since the last time.
@@ -183,30 +183,30 @@
 
 /// A connection's place; free again once every clone is gone.
 #[derive(Clone)]
-pub struct Place(Arc<Taken>);
+pub struct Permit(Arc<Taken>);
 
 struct Taken {
-    room: Room,
+    limit: ConnectionLimit,
     number: u64,
     leave: Arc<Notify>,
 }
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        let mut seats = self.room.0.lock();
+        let mut seats = self.limit.0.lock();
         if seats.taken.remove(&self.number).is_some_and(|seat| seat.leaving) {
             seats.leaving -= 1;
         }
-        self.room.0.freed.notify_one();
+        self.limit.0.freed.notify_one();
     }
 }
 
-impl Place {
+impl Permit {
     /// Ends when this connection has to leave. A request that comes in the meantime saves it.
     pub async fn told_to_leave(&self) {
         loop {
             self.0.leave.notified().await;
-            if self.0.room.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.leaving) {
+            if self.0.limit.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.leaving) {
                 return;
             }
         }
@@ -214,7 +214,7 @@
 
     /// Whether its first request has not come yet, or not whole.
     pub fn is_new(&self) -> bool {
-        self.0.room.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.stage == Stage::New)
+        self.0.limit.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.stage == Stage::New)
     }
 
     /// A whole request has come: an answer is owed.
@@ -238,7 +238,7 @@
     }
 
     fn set(&self, stage: Stage) {
-        let mut seats = self.0.room.0.lock();
+        let mut seats = self.0.limit.0.lock();
         let Seats { taken, leaving, .. } = &mut *seats;
         let Some(seat) = taken.get_mut(&self.0.number) else { return };
         // Until its first request is whole, a connection stays new.
@@ -249,7 +249,7 @@
         if stage == Stage::Owed && std::mem::take(&mut seat.leaving) {
             *leaving -= 1;
             // Somebody else has to.
-            self.0.room.0.freed.notify_one();
+            self.0.limit.0.freed.notify_one();
         }
     }
 }
--- a/crates/guard/src/door.rs
+++ b/crates/guard/src/listener.rs
@@ -5,7 +5,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{Interval, MissedTickBehavior};
 
-use super::{Place, Room, Socket};
+use super::{ConnectionLimit, Permit, Socket};
 
 /// How often connections are looked through for those that took too long.
 const SWEEP: Duration = Duration::from_millis(100);
@@ -16,28 +16,28 @@
 /// A connection that waits unaccepted is here within this time.
 const LATE: Duration = Duration::from_millis(1);
 
-/// A listener and the room behind it.
-pub struct Door {
+/// A listener and the limit that it keeps.
+pub struct Listener {
     listener: TcpListener,
-    room: Room,
+    limit: ConnectionLimit,
     sweep: Interval,
     /// Accepted, and waiting for somebody else to leave.
     waiting: Option<Socket>,
     accepts: u32,
 }
 
-impl Door {
-    /// The door to a room.
-    pub fn new(listener: TcpListener, room: Room) -> Self {
-        Door { listener, room, sweep: sweeps(), waiting: None, accepts: 0 }
+impl Listener {
+    /// A listener under a limit.
+    pub fn new(listener: TcpListener, limit: ConnectionLimit) -> Self {
+        Listener { listener, limit, sweep: sweeps(), waiting: None, accepts: 0 }
     }
 
     /// The next connection. Dropping the future loses none.
-    pub async fn next(&mut self) -> (Socket, Place) {
+    pub async fn next(&mut self) -> (Socket, Permit) {
         loop {
             if let Some(socket) = self.waiting.take() {
-                match self.room.enter(socket.unread()) {
-                    Some(place) => return (socket, place),
+                match self.limit.enter(socket.unread()) {
+                    Some(permit) => return (socket, permit),
                     None => self.waiting = Some(socket),
                 }
             }
@@ -55,15 +55,15 @@
                         tokio::time::sleep(PAUSE).await;
                     }
                 },
-                () = self.room.freed(), if self.waiting.is_some() => {}
-                _ = self.sweep.tick() => self.room.sweep(),
+                () = self.limit.freed(), if self.waiting.is_some() => {}
+                _ = self.sweep.tick() => self.limit.sweep(),
             }
         }
     }
 
-    /// A connection that has come already, before the door is shut: its client would see a reset. Of a `shared`
+    /// A connection that has come already, before it is shut: its client would see a reset. Of a `shared`
     /// listener only those that are accepted: the others are for whoever shares it.
-    pub async fn last(&mut self, shared: bool) -> Option<(Socket, Place)> {
+    pub async fn last(&mut self, shared: bool) -> Option<(Socket, Permit)> {
         let socket = match self.waiting.take() {
             Some(socket) => socket,
             None if shared => return None,
@@ -72,8 +72,8 @@
                 _ => return None,
             },
         };
-        let place = self.room.squeeze_in(socket.unread());
-        Some((socket, place))
+        let permit = self.limit.squeeze_in(socket.unread());
+        Some((socket, permit))
     }
 
     /// Lets nobody in any more, and goes on looking for those who take too long.
@@ -82,7 +82,7 @@
         let mut sweep = self.sweep;
         loop {
             sweep.tick().await;
-            self.room.sweep();
+            self.limit.sweep();
         }
     }
 }
--- a/crates/guard/src/socket.rs
+++ b/crates/guard/src/socket.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::framing::Framing;
-use super::room::Place;
+use super::limit::Permit;
 
 /// What is read at a time.
 const READ: usize = 8 * 1024;
@@ -156,27 +156,27 @@
     judged: BytesMut,
     count: Count,
     answers: Arc<AtomicU64>,
-    place: Place,
+    permit: Permit,
 }
 
 impl Framed {
     /// Follows a socket; `answers` counts the answers given on it.
-    pub fn new(socket: Socket, place: Place, answers: Arc<AtomicU64>) -> Self {
+    pub fn new(socket: Socket, permit: Permit, answers: Arc<AtomicU64>) -> Self {
         let (framing, judged) = (Framing::default(), BytesMut::new());
-        Framed { socket, framing, judged, count: Count::default(), answers, place }
+        Framed { socket, framing, judged, count: Count::default(), answers, permit }
     }
 
     fn tell(&mut self) {
         self.count.answered = self.answers.load(Ordering::Acquire);
         let Count { begun, whole, answered, out } = self.count;
         if whole > answered {
-            self.place.owes();
+            self.permit.owes();
         } else if answered > out {
-            self.place.answers();
+            self.permit.answers();
         } else if begun > whole.max(out) || self.framing.holds() {
-            self.place.begins();
+            self.permit.begins();
         } else {
-            self.place.idles();
+            self.permit.idles();
         }
     }
 }
@@ -206,7 +206,7 @@
 impl AsyncWrite for Framed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         if self.count.whole <= self.answers.load(Ordering::Acquire) {
-            self.place.answers();
+            self.permit.answers();
         }
         Pin::new(&mut self.socket).poll_write(cx, buf)
     }
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -104,7 +104,7 @@
         let front = Front::new(serving.clone(), share::clients(config.limits.sockets));
         // A listener that is handed on goes from one process to the next under load.
         if let (Some(_), Some(folder)) = (config.accept_fd, &config.state) {
-            if let Some(mut share) = Share::take(folder, front.room().clone(), config.limits.sockets) {
+            if let Some(mut share) = Share::take(folder, front.limit().clone(), config.limits.sockets) {
                 share.look(&serving);
                 self.operators.spawn(share.keep(serving.clone()));
             }
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -17,7 +17,7 @@
 use tower::Service;
 
 use rookspoke_channel::{plain, ResponseBody, MAX_BUFFER};
-use rookspoke_guard::{Door, Framed, Patience, Place, Room, Socket};
+use rookspoke_guard::{ConnectionLimit, Framed, Listener, Patience, Permit, Socket};
 
 use crate::serving::Serving;
 
@@ -47,18 +47,18 @@
 pub struct Front {
     serving: Serving,
     /// Places for client connections.
-    room: Room,
+    limit: ConnectionLimit,
 }
 
 impl Front {
     /// A front with places for `connections` clients.
     pub fn new(serving: Serving, connections: usize) -> Self {
-        Front { serving, room: Room::new(connections, PATIENCE) }
+        Front { serving, limit: ConnectionLimit::new(connections, PATIENCE) }
     }
 
     /// Its places.
-    pub fn room(&self) -> &Room {
-        &self.room
+    pub fn limit(&self) -> &ConnectionLimit {
+        &self.limit
     }
 
     /// Serves until `stop` ends; then goes on for a while, and ends when all that it took is answered. A shared
@@ -82,24 +82,24 @@
             }
         }
         self.serving.accepts();
-        let mut door = Door::new(listener, self.room.clone());
+        let mut listener = Listener::new(listener, self.limit.clone());
         loop {
             tokio::select! {
-                (socket, place) = door.next() => self.open(socket, place, &mut connections, closing.clone()),
+                (socket, permit) = listener.next() => self.open(socket, permit, &mut connections, closing.clone()),
                 Some(_) = connections.join_next() => {}
                 () = &mut stop => break,
             }
         }
-        while let Some((socket, place)) = door.last(shared).await {
-            self.open(socket, place, &mut connections, closing.clone());
+        while let Some((socket, permit)) = listener.last(shared).await {
+            self.open(socket, permit, &mut connections, closing.clone());
         }
-        let mut shut = std::pin::pin!(door.shut());
+        let mut shut = std::pin::pin!(listener.shut());
         // Until the last of what was taken so far is answered the process stays anyway: for a while it goes on
         // serving those that are connected, unless the other process can.
         let (stay, finish) = if shared { (Duration::ZERO, GRACE + FINISH) } else { (STAY, FINISH) };
         self.serving.channel().end_within(finish);
         let mut last = std::pin::pin!(async {
-            let _ = tokio::time::timeout(stay, self.room.settled()).await;
+            let _ = tokio::time::timeout(stay, self.limit.settled()).await;
             close.send_replace(true);
             std::future::pending().await
         });
@@ -115,14 +115,14 @@
     fn open(
         &self,
         socket: Socket,
-        place: Place,
+        permit: Permit,
         connections: &mut JoinSet<()>,
         mut closing: watch::Receiver<bool>,
     ) {
         let (serving, answers) = (self.serving.clone(), Arc::new(AtomicU64::new(0)));
         let counters = serving.channel().counters().clone();
         let (unread, end) = (socket.unread(), socket.end());
-        let framed = Framed::new(socket, place.clone(), answers.clone());
+        let framed = Framed::new(socket, permit.clone(), answers.clone());
         connections.spawn(async move {
             let ends = closing.clone();
             let turned_down = Arc::new(AtomicBool::new(false));
@@ -152,7 +152,7 @@
                     // The connection first: what has come saves it from having to leave.
                     biased;
                     done = connection.as_mut() => break done.is_err_and(|error| error.is_parse()),
-                    () = place.told_to_leave() => {
+                    () = permit.told_to_leave() => {
                         counters.closed.add();
                         return;
                     }
@@ -162,7 +162,7 @@
                         told_to_end = true;
                         // A shut-down library reads nothing more, not even what is here already, and closes on
                         // one that has yet to ask for the first time: that one may, and its answer is the last.
-                        if place.is_new() {
+                        if permit.is_new() {
                             continue;
                         }
                         if unread() {
@@ -181,11 +181,11 @@
             let discard = malformed || turned_down.load(Ordering::Acquire);
             tokio::select! {
                 () = end.linger(LINGER, discard) => {}
-                () = place.told_to_leave() => {}
+                () = permit.told_to_leave() => {}
             }
             // Its place is free only once the socket is closed.
             drop(end);
-            drop(place);
+            drop(permit);
         });
     }
 }
--- a/crates/rookspoke/src/share.rs
+++ b/crates/rookspoke/src/share.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use rookspoke_guard::Room;
+use rookspoke_guard::ConnectionLimit;
 use rookspoke_state::tenancy::Tenancy;
 use tokio::time::{interval, Interval, MissedTickBehavior};
 
@@ -38,18 +38,18 @@
 /// Keeps to half of the descriptors for as long as another process lives.
 pub struct Share {
     tenancy: Tenancy,
-    room: Room,
+    limit: ConnectionLimit,
     sockets: usize,
     shared: bool,
 }
 
 impl Share {
     /// Takes a place in the folder; none if that cannot be had, which costs nothing but this care.
-    pub fn take(folder: &Path, room: Room, sockets: usize) -> Option<Self> {
+    pub fn take(folder: &Path, limit: ConnectionLimit, sockets: usize) -> Option<Self> {
         let tenancy = Tenancy::take(folder).inspect_err(|error| {
             tracing::warn!("another process would not be seen: {}: {error}", folder.display());
         });
-        tenancy.ok().map(|tenancy| Share { tenancy, room, sockets, shared: false })
+        tenancy.ok().map(|tenancy| Share { tenancy, limit, sockets, shared: false })
     }
 
     /// Looks for the other process once.
@@ -58,7 +58,7 @@
         if shared != self.shared {
             self.shared = shared;
             tracing::info!("{}", if shared { "another process lives" } else { "this process is alone" });
-            self.room.resize(if shared { shared_clients(self.sockets) } else { clients(self.sockets) });
+            self.limit.resize(if shared { shared_clients(self.sockets) } else { clients(self.sockets) });
             serving.channel().share(shared.then_some(APART));
         }
     }
--- a/crates/rookspoke/tests/ends.rs
+++ b/crates/rookspoke/tests/ends.rs
@@ -85,7 +85,7 @@
     // there, and so is the time to close.
     std::thread::sleep(Duration::from_millis(300));
     daemon.signal("STOP");
-    let mut asks = |number: usize, client: &mut BufReader<TcpStream>| {
+    let asks = |number: usize, client: &mut BufReader<TcpStream>| {
         client
             .get_mut()
             .write_all(&post("log-lookup", &format!("{:016x}", 0x100 + number), 5_000, ""))
