--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -245,7 +245,7 @@
             return self.conclude(id, out);
         }
         let (job, late_worth) = (job.clone(), class.late_worth);
-        let to = self.choose(&job, out);
+        let to = self.list.is_trusted(self.now).then(|| self.choose(&job, out)).flatten();
         let chance = to.and_then(|to| self.fleet.get(to)).map(|w| self.late_chance(w, &job));
         match to {
             // What would start too late is refused: served late it is worth nothing and keeps others late.
--- a/crates/rookspoke/tests/guard.rs
+++ b/crates/rookspoke/tests/guard.rs
@@ -158,3 +158,29 @@
     assert_eq!(one.count() + two.count(), 1);
     daemon.wait_counters("http", &["taken=1", "failed=1", "unusable=1", "attempts_failed=1"]);
 }
+
+/// The process stands still while all who rest ask again and a crowd comes for their places: when it goes on, the requests
+/// are on its sockets, read by nobody, and whoever sent one stays.
+#[test]
+fn nobody_makes_room_whose_request_is_there_unread() {
+    let worker = Worker::serving("w-1");
+    let daemon = small(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let ready = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut rest: Vec<_> = (0..32).map(|_| BufReader::new(send(http, ready))).collect();
+    assert!(rest.iter_mut().all(|client| read_message(client).is_some()));
+    daemon.signal("STOP");
+    let crowd: Vec<TcpStream> = (0..64).map(|_| send(http, b"")).collect();
+    for (id, client) in rest.iter_mut().enumerate() {
+        let job = post("log-lookup", &format!("{:016x}", id + 1), 9_000, "");
+        client.get_mut().write_all(&job).expect("sent");
+    }
+    daemon.signal("CONT");
+    // More come at once than the daemon takes: the rest hear so.
+    let statuses: Vec<u16> =
+        rest.iter_mut().filter_map(|client| Some(read_message(client)?.status)).collect();
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert_eq!((statuses.len(), worker.count()), (32, served), "{statuses:?}");
+    assert!(served >= 25 && statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+    drop(crowd);
+}
--- a/crates/rookspoke/tests/list.rs
+++ b/crates/rookspoke/tests/list.rs
@@ -162,3 +162,50 @@
     daemon.wait_counters("http", &["sent=1", "not_sent=1", "written=0"]);
     drop(client);
 }
+
+/// What another discovery has to tell counts 4 s after SIGHUP, though it fails every call; and where the old watch had
+/// ended before that, its six seconds go on.
+#[test]
+fn a_move_by_sighup_leaves_the_old_list_four_seconds_and_no_new_six() {
+    let play = |ends_before: bool| {
+        let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+        let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let [old, new] = listeners;
+        let mut config = config(old.local_addr().expect("an address"));
+        config["settings"]["rules"]["ask_every_ms"] = 200_000.0.into();
+        let daemon = Daemon::start(&config, None);
+        let watch = tells(&old, &json!({"rev": 9, "all": true, "targets": [one.entry("active")]}));
+        daemon.wait_ready();
+        let http = daemon.address("http");
+        let job = |id: u32| send(http, &post("log-lookup", &format!("{id:016x}"), 9_000, ""));
+        let status =
+            |client: TcpStream| read_message(&mut BufReader::new(client)).map(|answer| answer.status);
+        let mut watch = Some(watch);
+        if ends_before {
+            watch = None;
+            std::thread::sleep(Duration::from_millis(3_000));
+        }
+        config["discovery"] = new.local_addr().expect("an address").to_string().into();
+        daemon.replace(&config.to_string());
+        daemon.signal("HUP");
+        let moved = Instant::now();
+        // Of six seconds three are left, of four all.
+        let (served, late) = if ends_before { (1_500, 3_100) } else { (3_000, 4_100) };
+        let at = move |ms: u64| moved + Duration::from_millis(ms);
+        let fails = std::thread::spawn(move || failing(new, Fails::Status503, at(late + 1_000)));
+        std::thread::sleep(at(served).saturating_duration_since(Instant::now()));
+        assert_eq!((status(job(1)), one.count()), (Some(200), 1), "it stopped too early: {ends_before}");
+        std::thread::sleep(at(late).saturating_duration_since(Instant::now()));
+        let waits = job(2);
+        let new = fails.join().expect("a listener");
+        assert_eq!(one.count(), 1, "sent by a list that counts as replaced: {ends_before}");
+        let list = json!({"rev": 1, "all": true, "targets": [one.entry("leaving"), two.entry("active")]});
+        let _watch = tells(&new, &list);
+        assert_eq!((status(waits), one.count(), two.count()), (Some(200), 1, 1));
+        drop((old, watch));
+    };
+    std::thread::scope(|scope| {
+        let plays = [false, true].map(|before| scope.spawn(move || play(before)));
+        assert!(plays.into_iter().all(|play| play.join().is_ok()));
+    });
+}
