Take one late start for no queue: the next job was refused beside an idle log worker

The log shows a job taken and refused within 5 ms, 68 ms after the first job of the site had been sent. To blame: brain.rs on_note, book.rs blend_others: an own job that started over 60 ms after it was sent counts all slots of its log worker as held by others, and where no report had come that first figure was taken whole. Beside an idle log worker on a machine that stood still for 68 ms the next jobs were refused for seconds, with nothing sent that could have shown otherwise. Change: one such wait is blended with the mean fill of the fleet, as reports know it. More of them still make a worker Full. The new test of the decisions fails without the line at 68 ms.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -607,7 +607,8 @@
         let Some(w) = self.fleet.get_mut(worker) else { return };
         w.starts(sent);
         if runs > 0.0 {
-            // The wait of an own job is the freshest news of a queue.
+            // The wait of an own job is the freshest news of a queue, but one alone shows none: a machine may be slow.
+            w.others.get_or_insert(self.fill * w.learned_slots.unwrap_or(PAPER_FULL));
             let held = w.learned_slots.unwrap_or(PAPER_FULL) * (1.0 + runs) - w.smooth_own(now, OWN_SMOOTH);
             w.blend_others(held, REPORT_GAIN);
         }
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -46,6 +46,29 @@
     assert_ne!(sends[0], sends[11], "Full takes nothing more");
 }
 
+/// The first job of a site that started 68 ms late, on a busy machine, had the next one refused at once.
+#[test]
+fn one_job_that_started_late_shows_no_queue() {
+    for late in [68.0, 150.0, 400.0] {
+        let mut host = Host::new(settings(&[Effect::Safe]), 1);
+        assert!(sent_to(&host.ask(1, 0, Some("k"))).is_some());
+        host.ms += late;
+        host.tell(Event::Note { request: RequestId(1), attempt: 0, note: Note::Started });
+        serve(&mut host, 1, None);
+        assert!(sent_to(&host.ask(2, 0, Some("l"))).is_some(), "refused after one start {late} ms late");
+    }
+    // More of them do.
+    let mut host = Host::new(settings(&[Effect::Safe]), 1);
+    let sent = (1..60).filter(|id| {
+        let sent = sent_to(&host.ask(*id, 0, Some("k"))).is_some();
+        host.ms += 400.0;
+        host.tell(Event::Note { request: RequestId(*id), attempt: 0, note: Note::Started });
+        serve(&mut host, *id, None);
+        sent
+    });
+    assert!(sent.count() < 59);
+}
+
 /// The key's own few workers are no reason to refuse what the rest of the fleet would start in time.
 #[test]
 fn a_worker_elsewhere_takes_what_would_start_too_late_near() {
