Set no class back behind another where room is short, and read accounts and hints on sockets

To blame: brain.rs thrift. Change: where worth is counted by requests (worth_by, read by nobody before), a job is refused sooner by its slots; where by work, not. A keyed job whose rack has nobody left fails at once (it waited for its window's end, 10 s); one that may have run where all drop repeats is refused only while a client's new try will be dropped too. X-Account and X-Weight-Hint reach the decisions.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -64,6 +64,10 @@
     pub const CLASS: &str = "x-service-class";
     /// How long the client waits, in whole milliseconds.
     pub const TIME_LEFT: &str = "x-time-left-ms";
+    /// The tenant, as the settings name it.
+    pub const ACCOUNT: &str = "x-account";
+    /// A client's guess at a request's work, in microseconds.
+    pub const WEIGHT_HINT: &str = "x-weight-hint";
     /// Further figures of a request.
     pub const FACTS: &str = "x-facts";
     /// A log worker's load.
@@ -216,7 +220,7 @@
         B::Error: Into<tower::BoxError>,
     {
         let (parts, body) = request.into_parts();
-        let Head { class, key, id, time_left, facts, uri } = Head::read(&parts, &self.words)?;
+        let Head { class, key, id, time_left, tenant, work, facts, uri } = Head::read(&parts, &self.words)?;
         // A body that says beforehand that it is too long is not waited for.
         if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(BadRequest::TooLong);
@@ -240,7 +244,8 @@
         let (once, over) = (self.once[class.0], false.into());
         let call = Call { method: parts.method, uri, headers, id, body, once, over };
         let Facts { slots, memory } = facts;
-        Ok((Ask { class, tenant: None, key, slots, memory, deadline, call: Arc::new(call), span }, open))
+        let call = Arc::new(call);
+        Ok((Ask { class, tenant, key, work, slots, memory, deadline, call, span }, open))
     }
 }
 
--- a/crates/channel/src/request.rs
+++ b/crates/channel/src/request.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use super::{grpc, headers, MAX_BODY};
-use rookspoke_decisions::{ClassId, Name, Span};
+use rookspoke_decisions::{ClassId, Name, Span, TenantId};
 use rookspoke_wire::Vocabulary;
 
 /// The longest id.
@@ -61,6 +61,10 @@
     pub key: Option<Name>,
     pub id: HeaderValue,
     pub time_left: Span,
+    /// None, too, of an account that the settings do not name: nothing is known of its share.
+    pub tenant: Option<TenantId>,
+    /// Its work, as its client guesses.
+    pub work: Option<Span>,
     pub facts: Facts,
     /// The path and what follows it: a log worker is no proxy.
     pub uri: Uri,
@@ -92,6 +96,8 @@
         };
         let ms = ms.filter(|ms| (1..=MAX_TIME_MS).contains(ms));
         let ms = ms.ok_or(BadRequest::Header(headers::TIME_LEFT))?;
+        let account = single(&parts.headers, headers::ACCOUNT)?;
+        let tenant = account.and_then(|name| words.tenants.iter().position(|t| t.as_ref() == name));
         let facts = single(&parts.headers, headers::FACTS)?.map_or(Ok(Facts::default()), Facts::read)?;
         let uri = parts.uri.path_and_query().cloned().map(Uri::from);
         Ok(Head {
@@ -99,12 +105,21 @@
             key: path.next_back().map(Name::from),
             id: HeaderValue::from_str(id).map_err(|_| BadRequest::Header(headers::ID))?,
             time_left: Span::from_ms(ms as f64),
+            tenant: tenant.map(TenantId),
+            work: hint(&parts.headers),
             facts,
             uri: uri.ok_or(BadRequest::Header(headers::CLASS))?,
         })
     }
 }
 
+/// The work that a client guesses: nonsense is no guess, and no reason to turn the request down.
+fn hint(from: &HeaderMap) -> Option<Span> {
+    let text = single(from, headers::WEIGHT_HINT).ok()??;
+    let us = text.parse().ok().filter(|us: &f64| us.is_finite() && *us >= 1.0)?;
+    Some(Span::from_ms(us.min(MAX_TIME_MS as f64 * 1e3) / 1e3))
+}
+
 /// A header's value, if it has one; given twice it makes no sense, and neither does an empty one.
 fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, BadRequest> {
     let mut values = headers.get_all(name).iter();
--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -166,6 +166,13 @@
                 "settings/over_share_worth",
                 "What a request beyond its tenant's share is worth, as a part of its class's worth.",
             ),
+            key(
+                "worth-by",
+                Kind::Choice(&[("request", "request"), ("work", "work")]),
+                Default("request"),
+                "settings/worth_by",
+                "What `worth` is counted for: each request, whatever its size, or each unit of its work.",
+            ),
             key(
                 "cross-zone-price",
                 POSITIVE,
--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -39,6 +39,7 @@
         classes: vec![class],
         tenants: Vec::new(),
         over_share_worth: 1.0,
+        worth_by: WorthBy::Request,
         discovery: Discovery::Automatic,
         reporting: Reporting::Answers,
         tells_start: true,
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -157,6 +157,15 @@
     pub allowance_per_s: f64,
 }
 
+/// What worth is counted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorthBy {
+    /// Each request, whatever its size.
+    Request,
+    /// Each unit of a request's work.
+    Work,
+}
+
 /// How the list of workers reaches a dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
@@ -232,6 +241,8 @@
     pub tenants: Vec<Tenant>,
     /// The worth of a request past its tenant's share, as a part of its class's.
     pub over_share_worth: f64,
+    /// What a class's worth is counted for.
+    pub worth_by: WorthBy,
     /// How the list arrives.
     pub discovery: Discovery,
     /// Where load reports come from.
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -43,7 +43,7 @@
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
 const WASTE: f64 = 2.0; // times its price: what was called off in a queue may run all the same, and keeps others out
 const LATE: f64 = 0.7; // a job more likely late than this is refused
-const THRIFT: i32 = 2; // the power by which jobs that hold many slots for their worth are refused sooner
+const THRIFT: i32 = 2; // the power of its slots by which a job is refused sooner
 const MOST_USE: f64 = 0.98; // the most use of its slots that the chance of a late start reckons with
 const STRETCH_PART: f64 = 0.5; // the part of its own extra time that a job of unknown length may wait
 const FIRST_RUN: Span = Span(400_000); // first guess of a job's time in its slots
@@ -64,9 +64,9 @@
 pub struct Dispatcher {
     s: Settings,
     rng: SmallRng,
-    now: Time,
+    pub(crate) now: Time,
     born: Option<Time>,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     book: Book,
     table: BTreeMap<KeyHash, Assigned>, // The paper's AssignedTable T.
     fill: f64, // mean fill of workers over all reports, for those that never reported: those of other zones
@@ -160,16 +160,6 @@
         }
     }
 
-    /// How many workers there are.
-    pub fn census(&self) -> Census {
-        self.fleet.census(self.now)
-    }
-
-    /// Whether a worker is listed, or taken out by hand.
-    pub fn knows(&self, worker: &str) -> bool {
-        self.fleet.knows(worker)
-    }
-
     fn on_list(&mut self, scope: ListScope, entries: &[Listing]) {
         match scope {
             ListScope::Failed => return self.list.lost(self.now, &mut self.rng),
@@ -240,7 +230,10 @@
         let class = &self.s.classes[job.class.0];
         let late = class.late_worth == 0.0 && self.now >= self.latest_start(job);
         let over = job.repeat_by(class.effect, REACH).is_some_and(|at| at <= self.now + self.s.quantum);
-        let stuck = over || job.may_have_run() && class.effect == Effect::Unsafe;
+        // Waiting for a worker that may repeat it helps only while there is one.
+        let takes = |id: &Wid| !job.tried(*id) && self.may_repeat(job, *id);
+        let bound = class.effect != Effect::Safe && job.may_have_run();
+        let stuck = over || bound && !self.fleet.ready.iter().any(takes);
         if late || stuck || job.attempts.len() >= self.s.limits.max_attempts {
             return self.conclude(id, out);
         }
@@ -338,12 +331,12 @@
         wait_chance(slots, (held / slots).min(MOST_USE), slack - ((held + more) / slots - 1.0).max(0.0))
     }
 
-    /// A job's worth a slot-second as a part of any class's most, squared: one of four slots keeps several others out.
+    /// Where worth is counted by requests, one of four slots keeps several others out that are worth as much each.
     fn thrift(&self, job: &Job) -> f64 {
-        let worth = |class: usize| (self.s.classes[class].worth / self.costs[class].0.max(1e-3)).max(1e-9);
-        let seen = (0..self.costs.len()).filter(|class| self.costs[*class].1 > 0);
-        let most = seen.map(worth).fold(worth(job.class.0), f64::max);
-        (worth(job.class.0) / most / job.slots.max(1.0)).powi(THRIFT)
+        match self.s.worth_by {
+            WorthBy::Request => job.slots.max(1.0).powi(-THRIFT),
+            WorthBy::Work => 1.0,
+        }
     }
 
     fn mean_run(&self) -> f64 {
@@ -514,17 +507,21 @@
         // Rule 1: nothing after the end or the deadline, nor more attempts than allowed.
         let counted = job.attempts.len() < self.s.limits.max_attempts;
         let open = counted && !job.ended && !job.streaming && self.now + self.s.quantum < self.send_by(job);
-        // Rule 2: what may have run is repeated only as its class allows.
         let alone = job.outstanding() == 0 || self.s.limits.second_copies;
-        let mut ran = job.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
-        let repeats = match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => !job.may_have_run(),
-            Effect::Keyed { .. } => ran.all(|a| a.peers == w.peers(to, class.effect)),
-        };
         // Rule 3: only workers that this dispatcher's list has in service, and a list that is not too old.
         let kind = class.kind.is_none() || class.kind == w.kind;
-        open && alone && repeats && w.ready && kind && self.cold_turn(w).is_some()
+        open && alone && self.may_repeat(job, to) && w.ready && kind && self.cold_turn(w).is_some()
+    }
+
+    /// Rule 2: what may have run is repeated only as its class allows.
+    fn may_repeat(&self, job: &Job, to: Wid) -> bool {
+        let (effect, w) = (self.s.classes[job.class.0].effect, self.fleet.get(to));
+        let mut ran = job.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
+        match effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            Effect::Keyed { .. } => ran.all(|a| w.is_some_and(|w| a.peers == w.peers(to, effect))),
+        }
     }
 
     /// Until when a job may be sent: while its client waits, its list holds, and a repeat of it is dropped.
@@ -577,12 +574,14 @@
     fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.book.get(id).filter(|j| !j.ended && !j.streaming) else { return };
         let effect = self.s.classes[job.class.0].effect;
-        let repeatable = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        // A client's new try has the same key: harmless where all workers drop repeats, and while they do.
+        let by = job.repeat_by(effect, self.s.limits.max_retry_after).is_some_and(|by| self.now < by);
+        let dropped = by && matches!(effect, Effect::Keyed { group: Group::All, .. });
         // Only what is taken counts against a share: clients repeat what was refused.
         if let (Some(t), true) = (job.tenant, !job.attempts.is_empty() && !job.may_have_run()) {
             self.tenants[t.0].put(1.0);
         }
-        out.push(match repeatable || !job.may_have_run() {
+        out.push(match dropped || effect == Effect::Safe || !job.may_have_run() {
             true => Action::Refuse { request: id, retry_after: None },
             false => Action::Fail(id),
         });
--- /dev/null
+++ b/crates/decisions/src/figures.rs
@@ -0,0 +1,16 @@
+//! What operators are told of a dispatcher's log workers. Nothing is decided here.
+
+use crate::api::Census;
+use crate::brain::Dispatcher;
+
+impl Dispatcher {
+    /// How many workers there are.
+    pub fn census(&self) -> Census {
+        self.fleet.census(self.now)
+    }
+
+    /// Whether a worker is listed, or taken out by hand.
+    pub fn knows(&self, worker: &str) -> bool {
+        self.fleet.knows(worker)
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 mod api;
 mod book;
 mod brain;
+mod figures;
 mod list_age;
 
 pub use api::*;
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -20,6 +20,7 @@
         classes: effects.iter().map(|e| class(*e)).collect(),
         tenants: Vec::new(),
         over_share_worth: 0.05,
+        worth_by: WorthBy::Request,
         discovery: Discovery::Automatic,
         reporting: Reporting::Answers,
         tells_start: true,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,8 @@
     pub tenant: Option<TenantId>,
     /// What it is about.
     pub key: Option<Name>,
+    /// Its work, where its client gave a guess.
+    pub work: Option<rookspoke_decisions::Span>,
     /// Slots it takes.
     pub slots: f64,
     /// Memory units it takes.
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -203,7 +203,7 @@
                     class: ask.class,
                     tenant: ask.tenant,
                     key: ask.key,
-                    work: None,
+                    work: ask.work,
                     slots: ask.slots,
                     memory: ask.memory,
                     deadline: ask.deadline,
--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -19,6 +19,7 @@
 use rookspoke_decisions::{
     Action, AttemptEnd, ClassId, Discovery, Effect, Event, Limits, ListScope, Listing, LoadReport, Name,
     Note, Outcome, Readiness, Reporting, Request, RequestId, Rules, Settings, SettingsError, Span, Time,
+    WorthBy,
 };
 
 pub use draw::{arrivals, hit, is_costly, make, Arrival};
@@ -184,6 +185,7 @@
         classes: classes.collect(),
         tenants: Vec::new(),
         over_share_worth: 1.0,
+        worth_by: WorthBy::Request,
         discovery: Discovery::Subscribe,
         reporting: Reporting::Probe,
         tells_start: true,
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -5,7 +5,7 @@
 use super::WireError;
 use rookspoke_decisions::{
     Class, Discovery, Effect, Group, KindId, Limits, LoadReport, Name, Reporting, Rules, Settings, Span,
-    Tenant,
+    Tenant, WorthBy,
 };
 
 /// What later lines need of an instance's settings.
@@ -181,6 +181,11 @@
         Some("none") | None => Reporting::None,
         Some(v) => return Err(bad("reporting.how", v)),
     };
+    let worth_by = match pairs.opt("worth_by") {
+        Some("request") | None => WorthBy::Request,
+        Some("work") => WorthBy::Work,
+        Some(v) => return Err(bad("worth_by", v)),
+    };
     let extra = |key: &str| match pairs.opt(key) {
         Some("free_slots") => ReportField::FreeSlots,
         Some("free_memory") => ReportField::FreeMemory,
@@ -212,6 +217,7 @@
         classes,
         tenants,
         over_share_worth: pairs.opt_num("over_share_worth")?.unwrap_or(1.0),
+        worth_by,
         discovery,
         reporting,
         tells_start: pairs.flag("specifics.tells_start", false)?,
