Rehearsal links: let a change of their faults hold for all that comes after it

To blame: rig/src/link/tcp.rs read: with a change of faults and bytes both there, select! took either by chance, and bytes read with the earlier size of a piece pass whole. Both are there where the link's task has had no turn since. Change: the change goes first. The new test holds the link's task back over both and failed at its first connections without it.

--- a/crates/rig/src/link/tcp.rs
+++ b/crates/rig/src/link/tcp.rs
@@ -183,11 +183,13 @@
             let most = if rate > 0.0 { (rate * SLICE.as_secs_f64()).ceil() as usize } else { PIECE };
             let mut room = (&mut buffer).limit(most.min(PIECE));
             let read = tokio::select! {
-                read = from.read_buf(&mut room) => read,
+                // What was told of before it came holds for it.
+                biased;
                 changed = self.faults.changed() => {
                     changed.map_err(|_| Broke)?;
                     continue;
                 }
+                read = from.read_buf(&mut room) => read,
             };
             let faults = *self.faults.borrow();
             let number = self.pieces[self.direction as usize].fetch_add(1, Ordering::Relaxed);
--- a/crates/rig/tests/link.rs
+++ b/crates/rig/tests/link.rs
@@ -81,6 +81,28 @@
     assert!(is_silent(&mut far).await);
 }
 
+/// A link that had no turn since let through whole, at times, what came after it was made slow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_comes_after_a_link_was_made_slow_comes_slowly() {
+    for at in 0..20 {
+        let (link, target) = link().await;
+        let (mut near, mut far) = ends(&link, &target).await;
+        near.write_all(b"0").await.expect("sent");
+        assert_eq!(read(&mut far, 1).await, b"0");
+        let sends = tokio::spawn(async move {
+            link.control.set(faults(|f| f.rate = 40.0), Faults::default());
+            near.try_write(&[1; 400]).expect("sent");
+            // The link's own turn comes only now, with both to find.
+            std::thread::sleep(Duration::from_millis(10));
+            (link, near)
+        });
+        let _open = sends.await.expect("sent");
+        let mut come = vec![0; 400];
+        let came = tokio::time::timeout(Duration::from_millis(50), far.read_exact(&mut come)).await;
+        assert!(came.is_err(), "all at once, connection {at}");
+    }
+}
+
 #[tokio::test]
 async fn a_connection_is_reset_at_its_byte_and_both_ends_hear_of_it() {
     let (link, target) = link().await;
