Keep a key at one set of workers over all zones where crossings cost less than a set in each

To blame: brain.rs entry, order: the key's order began with the own zone, three of 13 log workers with four sites; each site fetched a key for itself, and a hot key had nowhere else to go. Change: up to a price of 0.02 for each further zone, a key has one order over all zones. Jobs without a key stay near.

--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -568,14 +568,16 @@
         self.forget_if_idle(id);
     }
     /// Workers in service from which a key takes its order: in a fleet of some hundreds all, else a fixed number
-    /// that depends on the key.
+    /// that depends on the key. Of the own zone, of others, or of all.
     pub fn candidates(
         &self,
         key: KeyHash,
         kind: Option<KindId>,
-        near: bool,
+        near: Option<bool>,
     ) -> impl Iterator<Item = Wid> + '_ {
-        let parts = self.parts.get(&(near, kind)).into_iter().flat_map(move |parts| parts.of(key));
+        let zones = [true, false].into_iter().filter(move |zone| near.is_none_or(|near| near == *zone));
+        let parts = zones.filter_map(move |zone| self.parts.get(&(zone, kind)));
+        let parts = parts.flat_map(move |parts| parts.of(key));
         parts.flat_map(|part| part.workers.iter().map(|(_, id)| *id))
     }
     /// A number that is another one after each change of a key's candidates.
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -23,6 +23,7 @@
 const PRESSURE_GAIN: f64 = 0.02; // weight of one job in the pressure
 const HIGH_PRESSURE: f64 = 0.3; // the pressure at which the scan is at its narrowest:
 const JOIN_SLOTS: f64 = 7.0; // then workers with this many slots beyond T[key]; the same with all Full
+const COPY: f64 = 0.02; // of a job's worth: what it costs to keep a key in one zone more, in fetches and balance
 const TIE: f64 = 0.2; // loads this close count as equal and the order decides, so that tables agree
 const REPORT_GAIN: f64 = 0.3; // weight of a new report in a worker's mean
 const FILL_GAIN: f64 = 0.02; // weight of any report in the mean fill of all workers
@@ -171,8 +172,7 @@
         self.fleet.apply(scope, entries, &self.s, self.now);
     }
 
-    /// Jobs that may run anywhere leave to the jobs that need one kind the part of it that those fill:
-    /// spread evenly, they would crowd out the others while workers of another kind stand idle.
+    /// Jobs that may run anywhere leave to jobs that need one kind the part of it that those fill.
     fn reserve(&mut self) {
         let mut capacity = vec![0.0; self.reserved.len()];
         for w in self.fleet.ready.iter().filter_map(|id| self.fleet.get(*id)).filter(|w| w.local) {
@@ -190,12 +190,18 @@
         }
     }
 
-    /// Dispatchers of a zone, at the mean: those that share its jobs.
+    /// Dispatchers that send a key to the same workers: all, or those of a zone at the mean.
     fn sharers(&self) -> f64 {
-        (self.s.balancers as f64 / self.s.zones.len().max(1) as f64).max(1.0)
+        let zones = if self.roams() { 1 } else { self.s.zones.len().max(1) };
+        (self.s.balancers as f64 / zones as f64).max(1.0)
     }
 
-    /// Turns what this dispatcher counted over KEY_MEMORY into the rate of all dispatchers of its zone.
+    /// Whether a key has its workers in all zones: crossings cost less than a set of workers in each.
+    fn roams(&self) -> bool {
+        self.s.cross_zone_price <= COPY * (self.s.zones.len() as f64 - 1.0)
+    }
+
+    /// Turns what this dispatcher counted over KEY_MEMORY into the rate of all that share it.
     fn per_second_of_all(&self) -> f64 {
         let known = self.born.map_or(0.0, |at| (self.now - at).secs()) / KEY_MEMORY.secs();
         self.sharers() / KEY_MEMORY.secs() / (1.0 - (-known.max(0.1)).exp())
@@ -267,16 +273,14 @@
         self.s.limits.probes && (of == Reporting::Probe || of == Reporting::Answers && self.shared())
     }
 
-    /// Whether a job waits for a probe of the worker chosen, until `since` is `LOOK` ago: of a hundred dispatchers
-    /// each would take the same one for free, and after a zone is lost attempts would go to nobody, within moments.
+    /// Whether a job waits for a probe of the worker chosen, until `since` is `LOOK` ago: all would take the same one.
     fn looks(&self, to: Wid, since: Time) -> bool {
         let old = |w: &Worker| w.probe_out && w.reported.is_none_or(|at| self.now - at > OLD);
         self.asks() && self.shared() && self.now - since < LOOK && self.fleet.get(to).is_some_and(old)
     }
 
-    /// A job that waits in a queue is offered to another worker as a second copy, where that is allowed: news
-    /// of free slots is too old to choose well at first. The copy that starts calls off the other. Where copies are
-    /// not allowed, it is called off first and goes on after: the work that this may waste has its price.
+    /// A job that waits in a queue is offered to another worker as a second copy, where that is allowed; the copy that
+    /// starts calls off the other. Elsewhere it is called off first: the work that this may waste has its price.
     fn hurry(&mut self, id: RequestId, last: Time, out: &mut Vec<Action>) {
         let Some(job) = self.book.get(id) else { return };
         let (class, limits) = (&self.s.classes[job.class.0], &self.s.limits);
@@ -333,10 +337,8 @@
 
     /// Where worth is counted by requests, one of four slots keeps several others out that are worth as much each.
     fn thrift(&self, job: &Job) -> f64 {
-        match self.s.worth_by {
-            WorthBy::Request => job.slots.max(1.0).powi(-THRIFT),
-            WorthBy::Work => 1.0,
-        }
+        let power = if self.s.worth_by == WorthBy::Request { -THRIFT } else { 0 };
+        job.slots.max(1.0).powi(power)
     }
 
     fn mean_run(&self) -> f64 {
@@ -347,8 +349,7 @@
         w.learned_slots.unwrap_or(PAPER_FULL) * w.warmth(&self.s.rules, self.now)
     }
 
-    /// Slots in use: own ones, and the mean of what reports say of others. The newest report alone is older
-    /// than a job is long, and would send keys back and forth after fluctuations that are over.
+    /// Slots in use: own ones, and the mean of what reports say of others; the newest is older than a job is long.
     fn occupied(&self, w: &Worker) -> f64 {
         let age = w.reported.map_or(0.0, |at| (self.now - at).secs());
         w.own + w.others.map_or(self.fill * self.slots(w), |o| o.max(0.0) * (-age / TRUST.secs()).exp())
@@ -383,7 +384,7 @@
     }
 
     /// Weighted rendezvous order of key and worker name: every dispatcher finds the same one without talk.
-    fn order(&self, key: KeyHash, kind: Option<KindId>, near: bool) -> Vec<Wid> {
+    fn order(&self, key: KeyHash, kind: Option<KindId>, near: Option<bool>) -> Vec<Wid> {
         let rank = |id: Wid| {
             let w = self.fleet.get(id)?;
             let left = w.kind.filter(|_| kind.is_none()).map_or(1.0, |k| 1.0 - self.reserved[k.0]);
@@ -394,11 +395,12 @@
 
     /// Takes T[key] out, brought up to date, with the slots the key runs on each worker. It keeps what its
     /// demand fills to Busy: a set grown on stale news would scatter the key for good.
-    fn entry(&mut self, key: KeyHash, kind: Option<KindId>) -> (Assigned, f64) {
+    fn entry(&mut self, key: KeyHash, kind: Option<KindId>, all: bool) -> (Assigned, f64) {
         let mut t = self.table.remove(&key).unwrap_or_default();
         let version = (self.fleet.version(key, kind), self.reserved_version);
         if t.version != version {
-            (t.near, t.far) = (self.order(key, kind, true), self.order(key, kind, false));
+            (t.near, t.far) = (self.order(key, kind, (!all).then_some(true)), Vec::new());
+            t.far.extend(if all { Vec::new() } else { self.order(key, kind, Some(false)) });
             t.version = version;
         }
         let demand = t.demand.add(self.now, KEY_MEMORY, 0.0) * self.per_second_of_all();
@@ -414,8 +416,7 @@
         (t, part)
     }
 
-    /// Among how many of a key's first workers a dispatcher draws where its scan begins: twice what is filled if all
-    /// see the key as often as this one just did. Until the next report, all would take the same one for free.
+    /// Among how many of a key's first workers a scan begins: twice what is filled if all see the key as often as this.
     fn home(&self, t: &Assigned, job: &Job) -> usize {
         let asked = self.sharers() * self.run[job.class.0].secs() * job.slots / KEY_MEMORY.secs();
         let first = t.near.first().and_then(|id| self.fleet.get(*id)).map_or(PAPER_FULL, |w| self.slots(w));
@@ -435,7 +436,7 @@
         let kind = self.s.classes[job.class.0].kind;
         // A job without a key has a table entry of its own, for this one look.
         let key = job.key.unwrap_or_else(|| self.rng.random());
-        let (mut t, part) = self.entry(key, kind);
+        let (mut t, part) = self.entry(key, kind, job.key.is_some() && self.roams());
         let home = if self.shared() { self.home(&t, job).min(t.near.len()) } else { 1 };
         let drawn = if self.shared() { self.rng.random::<u32>() as usize } else { 0 };
         let risky = |w: &Worker| w.failing(self.now, ERROR_MEMORY) > RISK;
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -420,6 +420,40 @@
     assert!(set_back > 0);
 }
 
+/// Where the dispatchers of four zones with three workers each send 30 keys first.
+fn first_workers(price: f64, keyed: bool) -> Vec<Vec<String>> {
+    let zones: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).into();
+    let workers = |at: usize| Listing { zone: zones[at % 4].clone(), ..listing(at) };
+    let sends = zones.iter().map(|zone| {
+        let mut s = settings(&[Effect::Safe]);
+        (s.zones, s.zone, s.cross_zone_price) = (zones.clone(), zone.clone(), price);
+        let mut host = Host::new(s, 0);
+        host.tell(list(ListScope::Complete, (0..12).map(workers).collect()));
+        let key = |id| format!("k{id}");
+        (0..30)
+            .map(|id| sent_to(&host.ask(id, 0, keyed.then(|| key(id)).as_deref())).expect("sent"))
+            .collect()
+    });
+    sends.collect()
+}
+
+/// Each of four sites fetched each key for itself, to three workers, and a hot key had nowhere else to go.
+#[test]
+fn a_key_has_its_workers_in_all_zones_where_crossings_cost_little() {
+    let near = |sends: &[Vec<String>]| {
+        let own = |(zone, to): (usize, &Vec<String>)| {
+            to.iter().filter(|w| w[1..].parse::<usize>().is_ok_and(|at| at % 4 == zone)).count()
+        };
+        sends.iter().enumerate().map(own).sum::<usize>()
+    };
+    let cheap = first_workers(0.025, true);
+    let alike = (0..30).filter(|key| cheap.iter().all(|to| to[*key] == cheap[0][*key])).count();
+    assert!(alike >= 20 && near(&cheap) < 60, "{alike} of 30 keys, {} of 120 sends near", near(&cheap));
+    // Nothing is fetched for a job without a key, and a dear crossing is worth a fetch.
+    assert!(near(&first_workers(0.025, false)) > 100);
+    assert!(near(&first_workers(0.1, true)) > 100);
+}
+
 /// Six workers in racks of three, and a job of a keyed class that is out at the first one of its key.
 fn with_a_keyed_job(group: Group) -> (Host, String) {
     let mut s = settings(&[Effect::Keyed { group, window: Span::from_ms(2_500.0) }]);
