Keep a client's new try to the rack in which its first may have run, by its idempotency key

Read: X-Repeat and Idempotency-Key reached no decision; a keyed job that failed, and came again with its key, was a job like any other and could run in a second rack, which drops no repeat of it (brain.rs may_repeat knew its own attempts alone). Change: what may have run is remembered by a hash of the key and the class, 4096 at most, out still or over; a new try keeps to its rack and to its window from the first send, and fails at once where nobody is left.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -66,6 +66,8 @@
     pub const TIME_LEFT: &str = "x-time-left-ms";
     /// The tenant, as the settings name it.
     pub const ACCOUNT: &str = "x-account";
+    /// What all tries of a keyed request share.
+    pub const KEY: &str = "idempotency-key";
     /// A client's guess at a request's work, in microseconds.
     pub const WEIGHT_HINT: &str = "x-weight-hint";
     /// Further figures of a request.
@@ -94,8 +96,8 @@
     come_back: Option<Span>,
     /// When the process ends, once that is known.
     end: Arc<OnceLock<Time>>,
-    /// For each class, whether its requests must never run twice.
-    once: Arc<[bool]>,
+    /// For each class, how far its requests may be repeated.
+    effects: Arc<[Effect]>,
     fleet: Fleet,
     sockets: usize,
 }
@@ -142,9 +144,21 @@
         let come_back = limits.retry_after.then(|| COME_BACK.min(limits.max_retry_after));
         let open_ids = OpenIds::default();
         let end = Arc::default();
-        let once = config.settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
+        let effects = config.settings.classes.iter().map(|class| class.effect).collect();
         (
-            Channel { handle, words, clock, ready, orders, open_ids, come_back, end, once, fleet, sockets },
+            Channel {
+                handle,
+                words,
+                clock,
+                ready,
+                orders,
+                open_ids,
+                come_back,
+                end,
+                effects,
+                fleet,
+                sockets,
+            },
             core,
         )
     }
@@ -241,11 +255,13 @@
         remove_hop_by_hop(&mut headers);
         let class_name = self.words.classes[class.0].as_ref();
         let span = request_span(id.to_str().unwrap_or_default(), class_name);
-        let (once, over) = (self.once[class.0], false.into());
+        let effect = self.effects[class.0];
+        let tag = if let Effect::Keyed { .. } = effect { request::tag(&headers, class)? } else { None };
+        let (once, over) = (effect == Effect::Unsafe, false.into());
         let call = Call { method: parts.method, uri, headers, id, body, once, over };
         let Facts { slots, memory } = facts;
         let call = Arc::new(call);
-        Ok((Ask { class, tenant, key, work, slots, memory, deadline, call, span }, open))
+        Ok((Ask { class, tenant, key, tag, work, slots, memory, deadline, call, span }, open))
     }
 }
 
--- a/crates/channel/src/request.rs
+++ b/crates/channel/src/request.rs
@@ -11,6 +11,7 @@
 use super::{grpc, headers, MAX_BODY};
 use rookspoke_decisions::{ClassId, Name, Span, TenantId};
 use rookspoke_wire::Vocabulary;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The longest id.
 const MAX_ID: usize = 128;
@@ -113,6 +114,12 @@
     }
 }
 
+/// What a keyed request has in common with its client's other tries, a marked one or not.
+pub fn tag(from: &HeaderMap, class: ClassId) -> Result<Option<u64>, BadRequest> {
+    let key = single(from, headers::KEY)?;
+    Ok(key.map(|key| xxh3_64_with_seed(key.as_bytes(), class.0 as u64)))
+}
+
 /// The work that a client guesses: nonsense is no guess, and no reason to turn the request down.
 fn hint(from: &HeaderMap) -> Option<Span> {
     let text = single(from, headers::WEIGHT_HINT).ok()??;
--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -123,6 +123,7 @@
         let key = self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15) % (10 * self.workers as u64);
         let id = RequestId(self.next);
         self.tell(Event::Request(Request {
+            tag: None,
             id,
             class: ClassId(0),
             tenant: None,
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -428,6 +428,8 @@
     pub tenant: Option<TenantId>,
     /// The program or data set it needs.
     pub key: Option<Name>,
+    /// What a keyed request has in common with its client's other tries: a hash of its idempotency key.
+    pub tag: Option<u64>,
     /// Its work as time on a standard core, where a usable hint came along.
     pub work: Option<Span>,
     /// Slots it takes.
--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -1,6 +1,6 @@
 //! Plain bookkeeping: workers, jobs, attempts and own slots in use. No thresholds, no choosing.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -97,6 +97,9 @@
     pub class: ClassId,
     pub tenant: Option<TenantId>,
     pub key: Option<KeyHash>,
+    tag: Option<u64>,
+    /// An earlier try of its client that may have run: who drops its repeat, and when it was sent first.
+    before: Option<(Peers, Time)>,
     pub work: Option<Span>,
     pub slots: f64,
     pub memory: f64,
@@ -117,6 +120,8 @@
             class: r.class,
             tenant: r.tenant,
             key,
+            tag: r.tag,
+            before: None,
             work: r.work,
             slots: r.slots,
             memory: r.memory,
@@ -132,15 +137,20 @@
     pub fn outstanding(&self) -> usize {
         self.attempts.iter().filter(|a| a.fate == Fate::Out).count()
     }
+    /// What may have run, earlier tries of its client included: who drops its repeat, and when it was sent.
+    pub fn ran(&self) -> impl Iterator<Item = (&Peers, Time)> {
+        let attempts = self.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
+        let before = self.before.iter().map(|(peers, sent)| (peers, *sent));
+        before.chain(attempts.map(|a| (&a.peers, a.sent)))
+    }
     pub fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|a| a.fate != Fate::NeverRan)
+        self.ran().next().is_some()
     }
     /// Until when a repeat that takes so long to arrive is dropped, where workers drop repeats for a time; none if
     /// nothing may have run.
     pub fn repeat_by(&self, effect: Effect, reach: Span) -> Option<Time> {
         let Effect::Keyed { window, .. } = effect else { return None };
-        let ran = self.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
-        ran.map(|a| a.sent + (window - reach)).min()
+        self.ran().map(|(_, sent)| sent + (window - reach)).min()
     }
     /// As it will be once all that is out is called off.
     pub fn gives_up(&mut self) {
@@ -644,8 +654,14 @@
 pub struct Book {
     jobs: FxHashMap<RequestId, Job>,
     due: BTreeSet<(Time, RequestId)>,
+    /// What may have run of requests that are over, by their tags, the oldest first.
+    ran: FxHashMap<u64, (Peers, Time)>,
+    tags: VecDeque<u64>,
 }
 
+/// Tags remembered: minutes of a dispatcher's keyed requests.
+const REMEMBERED: usize = 4096;
+
 impl Book {
     pub fn get(&self, id: RequestId) -> Option<&Job> {
         self.jobs.get(&id)
@@ -653,9 +669,25 @@
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Job> {
         self.jobs.get_mut(&id)
     }
-    pub fn open(&mut self, job: Job) {
+    pub fn open(&mut self, mut job: Job) {
+        if let Some(tag) = job.tag {
+            let open = || self.jobs.values().filter(|other| other.tag == Some(tag));
+            let out = || open().flat_map(Job::ran).map(|(peers, sent)| (peers.clone(), sent));
+            job.before = self.ran.get(&tag).cloned().or_else(|| out().min_by_key(|ran| ran.1));
+        }
         self.jobs.insert(job.id, job);
     }
+    /// Keeps what may have run of a request that is over.
+    fn remember(&mut self, job: &Job) {
+        let first = job.ran().min_by_key(|ran| ran.1).map(|(peers, sent)| (peers.clone(), sent));
+        let (Some(tag), Some(first)) = (job.tag, first) else { return };
+        if self.ran.insert(tag, first).is_none() {
+            self.tags.push_back(tag);
+        }
+        if self.tags.len() > REMEMBERED {
+            self.tags.pop_front().and_then(|tag| self.ran.remove(&tag));
+        }
+    }
     /// Files the next look at a job, replacing the earlier one.
     pub fn look_at(&mut self, id: RequestId, at: Option<Time>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -711,7 +743,9 @@
     pub fn close_if_done(&mut self, id: RequestId) {
         if self.jobs.get(&id).is_some_and(|j| j.ended && j.outstanding() == 0) {
             self.look_at(id, None);
-            self.jobs.remove(&id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.remember(&job);
+            }
         }
     }
 }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -517,11 +517,11 @@
     /// Rule 2: what may have run is repeated only as its class allows.
     fn may_repeat(&self, job: &Job, to: Wid) -> bool {
         let (effect, w) = (self.s.classes[job.class.0].effect, self.fleet.get(to));
-        let mut ran = job.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
+        let mut ran = job.ran();
         match effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
-            Effect::Keyed { .. } => ran.all(|a| w.is_some_and(|w| a.peers == w.peers(to, effect))),
+            Effect::Keyed { .. } => ran.all(|(peers, _)| w.is_some_and(|w| *peers == w.peers(to, effect))),
         }
     }
 
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -66,6 +66,7 @@
 
 pub fn request(id: u64, class: usize, key: Option<&str>, deadline: Time) -> Event {
     Event::Request(Request {
+        tag: None,
         id: RequestId(id),
         class: ClassId(class),
         tenant: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,8 @@
     pub tenant: Option<TenantId>,
     /// What it is about.
     pub key: Option<Name>,
+    /// What a keyed request has in common with its client's other tries: a hash of its idempotency key.
+    pub tag: Option<u64>,
     /// Its work, where its client gave a guess.
     pub work: Option<rookspoke_decisions::Span>,
     /// Slots it takes.
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -203,6 +203,7 @@
                     class: ask.class,
                     tenant: ask.tenant,
                     key: ask.key,
+                    tag: ask.tag,
                     work: ask.work,
                     slots: ask.slots,
                     memory: ask.memory,
--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -449,6 +449,7 @@
         let (id, seat, deadline) = (one.id, one.seat, one.deadline);
         let effect = self.s.classes[one.class].effect();
         let request = Request {
+            tag: None,
             id: RequestId(id),
             class: ClassId(one.class),
             tenant: None,
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -362,6 +362,7 @@
             class: ClassId(class),
             tenant: None,
             key: job.custom.key.as_deref().map(Name::from),
+            tag: None,
             work: None,
             slots: job.custom.slots.unwrap_or(1.0),
             memory: 0.0,
--- a/crates/rookspoke/tests/deployment.rs
+++ b/crates/rookspoke/tests/deployment.rs
@@ -171,3 +171,56 @@
     assert!(ended.elapsed() < Duration::from_secs(1), "{:?}: held back", ended.elapsed());
     assert_eq!(other.count(), 0, "it went to another rack");
 }
+
+/// A client comes again with its key and a new id: where its first try may have run, only that rack drops the second.
+#[test]
+fn a_clients_new_try_keeps_to_the_rack_that_may_have_run_its_first() {
+    let racks = |worker: &Worker, rack: u32, state: &str| {
+        let mut entry = worker.entry(state);
+        entry["pod_group"] = rack.into();
+        entry
+    };
+    let first = Worker::start("w-1", |_, _| false);
+    let (mate, others) = (Worker::serving("w-2"), ["w-3", "w-4", "w-5", "w-6"].map(Worker::serving));
+    let discovery = Discovery::start(vec![racks(&first, 1, "active")]);
+    let mut config = config(discovery.address);
+    let class = &mut config["settings"]["classes"][1];
+    class["effect"] = "idempotency_key".into();
+    class["group"] = "cell".into();
+    class["dedup_window_ms"] = 3_000.0.into();
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    let http = daemon.address("http");
+    let tries = |key: &str, id: u32| {
+        let lines = format!("Idempotency-Key: {key}\r\nX-Repeat: 1\r\n");
+        let request = String::from_utf8(with(lines.as_bytes(), "qso-confirm", id)).expect("text");
+        ask(http, request.replace("station-1", key).as_bytes()).status
+    };
+    assert_eq!((tries("a", 1), tries("b", 2)), (500, 500), "they may have run");
+    let sent = Instant::now();
+    // Rack 1 is one other by now, and there are four of rack 2.
+    discovery.change(racks(&first, 1, "leaving"));
+    discovery.change(racks(&mate, 1, "active"));
+    others.iter().for_each(|other| discovery.change(racks(other, 2, "active")));
+    daemon.wait_counters("http", &["lists=7"]);
+    let elsewhere = || others.iter().map(Worker::count).sum::<usize>();
+    assert_eq!((tries("a", 3), mate.count(), elsewhere()), (200, 1, 0));
+    // Another key is bound to nothing, and the same key of another class neither.
+    (10..30).for_each(|id| assert_eq!(tries(&format!("c{id}"), id), 200));
+    assert!(elsewhere() > 0, "all went to rack 1");
+    let before = elsewhere() + mate.count();
+    // The rack gone, or its window over: failed at once.
+    discovery.change(racks(&mate, 1, "leaving"));
+    daemon.wait_counters("http", &["lists=8"]);
+    let asked = Instant::now();
+    assert_eq!(tries("b", 40), 500);
+    assert!(asked.elapsed() < Duration::from_secs(1), "{:?}: held back", asked.elapsed());
+    discovery.change(racks(&mate, 1, "active"));
+    daemon.wait_counters("http", &["lists=9"]);
+    std::thread::sleep(Duration::from_millis(3_100).saturating_sub(sent.elapsed()));
+    assert_eq!(tries("b", 41), 500, "its window is over");
+    assert_eq!(elsewhere() + mate.count(), before, "sent on");
+    // One that makes no sense harms itself alone.
+    let twice = b"Idempotency-Key: a\r\nIdempotency-Key: b\r\n";
+    assert_eq!(ask(http, &with(twice, "qso-confirm", 50)).status, 400);
+}
--- a/crates/wire/src/parse.rs
+++ b/crates/wire/src/parse.rs
@@ -109,7 +109,17 @@
     let memory = f.opt_num("ram_units")?.unwrap_or(0.0);
     let key = f.opt().filter(|k| !k.is_empty()).map(Name::from);
     let work = hint.filter(|_| flags & 1 != 0).map(Span::from_ms);
-    Ok(Request { id, class, tenant, key, work, slots: slots.max(0.0), memory: memory.max(0.0), deadline })
+    Ok(Request {
+        id,
+        class,
+        tenant,
+        key,
+        tag: None,
+        work,
+        slots: slots.max(0.0),
+        memory: memory.max(0.0),
+        deadline,
+    })
 }
 
 /// Reads one line. `words` are those of the instance last named by `at`; without one, an event that
