--- a/crates/rookspoke/tests/commands.rs
+++ b/crates/rookspoke/tests/commands.rs
@@ -303,3 +303,30 @@
     assert!(left_out > 0, "{written} were written");
     assert_eq!(written + left_out, 8, "every line is written or counted");
 }
+
+/// As a new user would: the files that come along are taken as they are, and a slip in one is told with its place.
+#[test]
+fn the_example_files_are_accepted() {
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    let folder = Folder::new();
+    for name in ["example.conf", "four-sites.conf"] {
+        let file = std::fs::read_to_string(deploy.join(name)).expect("an example");
+        std::fs::write(folder.path().join(name), &file).expect("a copy");
+        let done = run(folder.path(), &["check", name]);
+        assert!(done.status.success(), "{name}: {}", text(&done.stderr));
+    }
+    let file = std::fs::read_to_string(deploy.join("four-sites.conf")).expect("an example");
+    for (good, bad) in [
+        ("allowance 60/s", "allowance -60/s"),
+        ("worth-by work", "worth-by weight"),
+        ("group cell", "group rack"),
+        ("over-share-worth 0.1", "over-share-worth 1.1"),
+        ("    aim 300ms\n", ""),
+    ] {
+        assert!(file.contains(good), "{good}");
+        std::fs::write(folder.path().join("bad.conf"), file.replace(good, bad)).expect("a copy");
+        let done = run(folder.path(), &["check", "bad.conf"]);
+        let said = text(&done.stderr) + &text(&done.stdout);
+        assert!(!done.status.success() && said.contains("bad.conf:"), "{bad}: {said}");
+    }
+}
