--- a/crates/rookspoke/tests/deployment.rs
+++ b/crates/rookspoke/tests/deployment.rs
@@ -136,14 +136,28 @@
     daemon.wait_counters("http", &["taken=3", "served=3", "malformed=3"]);
 }
 
+/// A log worker's entry, in a rack.
+fn in_rack(worker: &Worker, rack: u32, state: &str) -> Value {
+    let mut entry = worker.entry(state);
+    entry["pod_group"] = rack.into();
+    entry
+}
+
+/// A daemon whose confirmations may be repeated within a rack for this long.
+fn keyed(discovery: &Discovery, window_ms: f64) -> Daemon {
+    let mut config = config(discovery.address);
+    let class = &mut config["settings"]["classes"][1];
+    class["effect"] = "idempotency_key".into();
+    class["group"] = "cell".into();
+    class["dedup_window_ms"] = window_ms.into();
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    daemon
+}
+
 /// The rack of a keyed job goes away while it is out: nobody else drops its repeat, and the answer is not held back.
 #[test]
 fn a_keyed_job_whose_rack_goes_fails_at_once() {
-    let racks = |uid: &str, address: SocketAddr, rack: u32, state: &str| {
-        let mut entry = entry(uid, address, state);
-        entry["pod_group"] = rack.into();
-        entry
-    };
     let (broke, go) = std::sync::mpsc::channel();
     let go = std::sync::Mutex::new(go);
     let first = Worker::start("w-1", move |_, _| {
@@ -151,19 +165,13 @@
         false
     });
     let other = Worker::serving("w-3");
-    let discovery = Discovery::start(vec![racks("w-1", first.address, 1, "active")]);
-    let mut config = config(discovery.address);
-    let class = &mut config["settings"]["classes"][1];
-    class["effect"] = "idempotency_key".into();
-    class["group"] = "cell".into();
-    class["dedup_window_ms"] = 10_000.0.into();
-    let daemon = Daemon::start(&config, None);
-    daemon.wait_ready();
+    let discovery = Discovery::start(vec![in_rack(&first, 1, "active")]);
+    let daemon = keyed(&discovery, 10_000.0);
     let client = send(daemon.address("http"), &post("qso-confirm", "0000000000000001", 9_000, ""));
     wait_for("the first attempt", || (first.count() == 1).then_some(()));
     // Another rack is there, and its own drains.
-    discovery.change(racks("w-3", other.address, 2, "active"));
-    discovery.change(racks("w-1", first.address, 1, "leaving"));
+    discovery.change(in_rack(&other, 2, "active"));
+    discovery.change(in_rack(&first, 1, "leaving"));
     daemon.wait_counters("http", &["lists=3"]);
     let ended = Instant::now();
     broke.send(()).expect("it waits");
@@ -175,21 +183,10 @@
 /// A client comes again with its key and a new id: where its first try may have run, only that rack drops the second.
 #[test]
 fn a_clients_new_try_keeps_to_the_rack_that_may_have_run_its_first() {
-    let racks = |worker: &Worker, rack: u32, state: &str| {
-        let mut entry = worker.entry(state);
-        entry["pod_group"] = rack.into();
-        entry
-    };
     let first = Worker::start("w-1", |_, _| false);
     let (mate, others) = (Worker::serving("w-2"), ["w-3", "w-4", "w-5", "w-6"].map(Worker::serving));
-    let discovery = Discovery::start(vec![racks(&first, 1, "active")]);
-    let mut config = config(discovery.address);
-    let class = &mut config["settings"]["classes"][1];
-    class["effect"] = "idempotency_key".into();
-    class["group"] = "cell".into();
-    class["dedup_window_ms"] = 3_000.0.into();
-    let daemon = Daemon::start(&config, None);
-    daemon.wait_ready();
+    let discovery = Discovery::start(vec![in_rack(&first, 1, "active")]);
+    let daemon = keyed(&discovery, 3_000.0);
     let http = daemon.address("http");
     let tries = |key: &str, id: u32| {
         let lines = format!("Idempotency-Key: {key}\r\nX-Repeat: 1\r\n");
@@ -199,9 +196,9 @@
     assert_eq!((tries("a", 1), tries("b", 2)), (500, 500), "they may have run");
     let sent = Instant::now();
     // Rack 1 is one other by now, and there are four of rack 2.
-    discovery.change(racks(&first, 1, "leaving"));
-    discovery.change(racks(&mate, 1, "active"));
-    others.iter().for_each(|other| discovery.change(racks(other, 2, "active")));
+    discovery.change(in_rack(&first, 1, "leaving"));
+    discovery.change(in_rack(&mate, 1, "active"));
+    others.iter().for_each(|other| discovery.change(in_rack(other, 2, "active")));
     daemon.wait_counters("http", &["lists=7"]);
     let elsewhere = || others.iter().map(Worker::count).sum::<usize>();
     assert_eq!((tries("a", 3), mate.count(), elsewhere()), (200, 1, 0));
@@ -210,12 +207,12 @@
     assert!(elsewhere() > 0, "all went to rack 1");
     let before = elsewhere() + mate.count();
     // The rack gone, or its window over: failed at once.
-    discovery.change(racks(&mate, 1, "leaving"));
+    discovery.change(in_rack(&mate, 1, "leaving"));
     daemon.wait_counters("http", &["lists=8"]);
     let asked = Instant::now();
     assert_eq!(tries("b", 40), 500);
     assert!(asked.elapsed() < Duration::from_secs(1), "{:?}: held back", asked.elapsed());
-    discovery.change(racks(&mate, 1, "active"));
+    discovery.change(in_rack(&mate, 1, "active"));
     daemon.wait_counters("http", &["lists=9"]);
     std::thread::sleep(Duration::from_millis(3_100).saturating_sub(sent.elapsed()));
     assert_eq!(tries("b", 41), 500, "its window is over");
