--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -44,7 +44,7 @@
 const HURRY_LATE: f64 = 0.3; // if its start there is less likely late than this
 const WASTE: f64 = 2.0; // times its price: what was called off in a queue may run all the same, and keeps others out
 const LATE: f64 = 0.7; // a job more likely late than this is refused
-const THRIFT: i32 = 2; // the power of its slots by which a job is refused sooner
+const THRIFT: i32 = 2; // the power by which jobs that hold many slots for their worth are refused sooner
 const MOST_USE: f64 = 0.98; // the most use of its slots that the chance of a late start reckons with
 const STRETCH_PART: f64 = 0.5; // the part of its own extra time that a job of unknown length may wait
 const FIRST_RUN: Span = Span(400_000); // first guess of a job's time in its slots
@@ -266,8 +266,7 @@
         self.s.balancers > SWEEPERS
     }
 
-    /// Whether workers are asked for their load. Answers bring it too, but to a sliver of a large fleet's jobs seldom, and
-    /// never from where no job went.
+    /// Whether workers are asked for their load; answers bring a sliver of a large fleet too little of it.
     fn asks(&self) -> bool {
         let of = self.s.reporting;
         self.s.limits.probes && (of == Reporting::Probe || of == Reporting::Answers && self.shared())
@@ -335,10 +334,13 @@
         wait_chance(slots, (held / slots).min(MOST_USE), slack - ((held + more) / slots - 1.0).max(0.0))
     }
 
-    /// Where worth is counted by requests, one of four slots keeps several others out that are worth as much each.
+    /// A job's worth a slot-second as a part of any class's most, squared, where worth is counted by requests.
     fn thrift(&self, job: &Job) -> f64 {
-        let power = if self.s.worth_by == WorthBy::Request { -THRIFT } else { 0 };
-        job.slots.max(1.0).powi(power)
+        let worth = |class: usize| (self.s.classes[class].worth / self.costs[class].0.max(1e-3)).max(1e-9);
+        let seen = (0..self.costs.len()).filter(|class| self.costs[*class].1 > 0);
+        let most = seen.map(worth).fold(worth(job.class.0), f64::max);
+        let power = if self.s.worth_by == WorthBy::Request { THRIFT } else { 0 };
+        (worth(job.class.0) / most / job.slots.max(1.0)).powi(power)
     }
 
     fn mean_run(&self) -> f64 {
@@ -393,8 +395,7 @@
         lowest(self.fleet.candidates(key, kind, near).filter_map(rank).collect(), ORDER)
     }
 
-    /// Takes T[key] out, brought up to date, with the slots the key runs on each worker. It keeps what its
-    /// demand fills to Busy: a set grown on stale news would scatter the key for good.
+    /// Takes T[key] out, cut to what its demand fills to Busy, with the slots the key runs on each worker.
     fn entry(&mut self, key: KeyHash, kind: Option<KindId>, all: bool) -> (Assigned, f64) {
         let mut t = self.table.remove(&key).unwrap_or_default();
         let version = (self.fleet.version(key, kind), self.reserved_version);
@@ -423,8 +424,7 @@
         1 + (2.0 * asked / (T_BUSY * first).max(1.0)) as usize
     }
 
-    /// How far beyond T[key] the scan goes. Each step is likely a fetch from the shared store: under pressure
-    /// scattered keys swamp it, fetches hold slots, and the jam feeds itself.
+    /// How far beyond T[key] the scan goes: each step is likely a fetch, and scattered keys swamp the shared store.
     fn width(&self, order: &[Wid], pressure: f64) -> usize {
         let slots = order.first().and_then(|id| self.fleet.get(*id)).map_or(1.0, |w| self.slots(w));
         let least = (JOIN_SLOTS / slots.max(1.0)).round().max(1.0) as usize;
