--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -258,9 +258,8 @@
         let effect = self.effects[class.0];
         let tag = if let Effect::Keyed { .. } = effect { request::tag(&headers, class)? } else { None };
         let (once, over) = (effect == Effect::Unsafe, false.into());
-        let call = Call { method: parts.method, uri, headers, id, body, once, over };
+        let call = Arc::new(Call { method: parts.method, uri, headers, id, body, once, over });
         let Facts { slots, memory } = facts;
-        let call = Arc::new(call);
         Ok((Ask { class, tenant, key, tag, work, slots, memory, deadline, call, span }, open))
     }
 }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -400,8 +400,8 @@
         let mut t = self.table.remove(&key).unwrap_or_default();
         let version = (self.fleet.version(key, kind), self.reserved_version);
         if t.version != version {
-            (t.near, t.far) = (self.order(key, kind, (!all).then_some(true)), Vec::new());
-            t.far.extend(if all { Vec::new() } else { self.order(key, kind, Some(false)) });
+            t.near = self.order(key, kind, (!all).then_some(true));
+            t.far = if all { Vec::new() } else { self.order(key, kind, Some(false)) };
             t.version = version;
         }
         let demand = t.demand.add(self.now, KEY_MEMORY, 0.0) * self.per_second_of_all();
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -385,7 +385,7 @@
     assert!(!refused(send(20, 1)));
 }
 
-/// Jobs of two classes at one worker, of which `slots` are taken: which are sent, of one slot and of four each.
+/// Jobs of two classes at one worker, of which so many slots are taken: which are sent, of one slot and of four each.
 fn sent_under_load(worth_by: WorthBy, taken: usize) -> Vec<bool> {
     let mut s = settings(&[Effect::Safe, Effect::Safe]);
     (s.worth_by, s.classes[1].worth, s.limits.second_copies) = (worth_by, 5.0, false);
--- a/crates/rookspoke/tests/deployment.rs
+++ b/crates/rookspoke/tests/deployment.rs
@@ -16,7 +16,7 @@
     [&plain[..head], lines, &plain[head..]].concat()
 }
 
-/// A log worker that takes every job, starts none, and answers when its process is asked to end.
+/// A log worker that takes every job and starts none.
 fn holding() -> Worker {
     Worker::start("w-1", |_, _| {
         std::thread::sleep(Duration::from_secs(20));
@@ -202,7 +202,7 @@
     daemon.wait_counters("http", &["lists=7"]);
     let elsewhere = || others.iter().map(Worker::count).sum::<usize>();
     assert_eq!((tries("a", 3), mate.count(), elsewhere()), (200, 1, 0));
-    // Another key is bound to nothing, and the same key of another class neither.
+    // Another key is bound to nothing.
     (10..30).for_each(|id| assert_eq!(tries(&format!("c{id}"), id), 200));
     assert!(elsewhere() > 0, "all went to rack 1");
     let before = elsewhere() + mate.count();
