--- a/crates/rookspoke/tests/commands.rs
+++ b/crates/rookspoke/tests/commands.rs
@@ -31,17 +31,10 @@
     file + more
 }
 
-fn server(name: &'static str, says: &'static str) -> Worker {
-    Worker::start(name, move |request, to| {
-        serve(request, to, says);
-        true
-    })
-}
-
 /// A site without the platform needs no JSON and no discovery; a reload moves it to another list.
 #[test]
 fn a_fixed_list_serves_and_a_reload_changes_it() {
-    let (one, two) = (server("w-1", "from one"), server("w-2", "from two"));
+    let (one, two) = (Worker::giving("w-1", "from one"), Worker::giving("w-2", "from two"));
     let daemon = Daemon::of_site(&site(&[&one], ""));
     daemon.wait_ready();
     let http = daemon.address("http");
@@ -176,7 +169,7 @@
 
 #[test]
 fn a_stale_control_socket_is_replaced_and_a_live_one_is_not() {
-    let worker = server("w-1", "x");
+    let worker = Worker::giving("w-1", "x");
     let file = site(&[&worker], "control {\n path control\n}\n");
     // What a killed daemon leaves.
     let stale = Folder::new();
@@ -210,7 +203,7 @@
 /// A reader who stopped reading: the pipe fills, lines are dropped and counted, and requests are still answered.
 #[test]
 fn a_full_or_closed_standard_error_holds_up_nothing() {
-    let worker = server("w-1", "served");
+    let worker = Worker::giving("w-1", "served");
     for closed in [false, true] {
         let folder = Folder::new();
         let more = "log {\n level trace\n queue 16\n}\ncontrol {\n path control\n}\n";
--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -396,8 +396,14 @@
     }
 
     pub fn serving(uid: &str) -> Self {
-        Worker::start(uid, |request, to| {
-            serve(request, to, "fine");
+        Worker::giving(uid, "fine")
+    }
+
+    /// Serves every job with this result.
+    pub fn giving(uid: &str, result: impl Into<String>) -> Self {
+        let result = result.into();
+        Worker::start(uid, move |request, to| {
+            serve(request, to, &result);
             true
         })
     }
--- a/crates/rookspoke/tests/ends.rs
+++ b/crates/rookspoke/tests/ends.rs
@@ -22,10 +22,7 @@
 /// never a reset.
 #[test]
 fn a_close_over_unread_bytes_resets_no_answer() {
-    let worker = Worker::start("w-1", |request, to| {
-        serve(request, to, &"x".repeat(60_000));
-        true
-    });
+    let worker = Worker::giving("w-1", "x".repeat(60_000));
     let daemon = Daemon::over(&Discovery::of(&[&worker]));
     let http = daemon.address("http");
     let close = |text: Vec<u8>| {
@@ -62,10 +59,7 @@
 /// answered, or never sent on; the process ends in time, though one client takes its answer a byte at a time.
 #[test]
 fn requests_that_arrive_with_the_shutdown_are_answered_or_not_sent() {
-    let worker = Worker::start("w-1", |request, to| {
-        serve(request, to, &"x".repeat(30_000));
-        true
-    });
+    let worker = Worker::giving("w-1", "x".repeat(30_000));
     let mut daemon = Daemon::over(&Discovery::of(&[&worker]));
     let http = daemon.address("http");
     let mut resting: Vec<_> = (1..=40)
@@ -258,10 +252,7 @@
 /// A client that takes a byte of its answer a second holds up nobody, and its connection is not for ever.
 #[test]
 fn a_client_that_takes_a_byte_a_second_holds_up_nobody() {
-    let worker = Worker::start("w-1", |request, to| {
-        serve(request, to, &"x".repeat(60_000));
-        true
-    });
+    let worker = Worker::giving("w-1", "x".repeat(60_000));
     let daemon = Daemon::over(&Discovery::of(&[&worker]));
     let http = daemon.address("http");
     let slow: Vec<TcpStream> = (0..20)
