Log the phases of a shutdown and the reason of each final answer, and count them

Cause: the staging logs end with the line at SIGTERM; nothing tells when the listener closed, when connections were told to close, what was open, or why a request was refused, failed or sent again. Change: each phase is logged with the connections open and awaiting an answer; answers after the listener closed are logged with id, class and time left; the decisions give the reason of each refusal and failure (EndReason), which is logged and counted; further attempts and early closes of connections are logged. Wire forms are as before.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -30,7 +30,8 @@
 use resolver::{Order, Resolver, ResolverResult};
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
-    Ban, Discovery, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError, Span, Time,
+    Ban, ClassId, Discovery, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError,
+    Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -173,6 +174,25 @@
         }
     }
 
+    /// Logs and counts an answer that is given after a shutdown has begun.
+    fn log_at_shutdown(&self, id: &HeaderValue, class: ClassId, answer: &Answer<Bytes>) {
+        let Some(end) = self.end.get() else { return };
+        let answer = match answer {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+        };
+        self.counters().shutdown_answers.add();
+        let class = self.words.classes[class.0].as_ref();
+        let left_ms = self.clock.until(*end).as_millis() as u64;
+        tracing::info!(
+            id = id.to_str().unwrap_or_default(),
+            class,
+            left_ms,
+            "shutdown: a request is {answer}"
+        );
+    }
+
     /// Takes the list of log workers from elsewhere from now on. Nothing else changes: what is under way goes
     /// on, and so do connections to log workers that the new list still holds.
     pub async fn take_list_from(&self, source: ListSource) {
@@ -285,7 +305,9 @@
             Ok(match channel.read(request).await {
                 Ok((ask, _open)) => {
                     let _over = Over(ask.call.clone());
+                    let (id, class) = (ask.call.id.clone(), ask.class);
                     let answer = channel.advise(channel.handle.ask(ask).await);
+                    channel.log_at_shutdown(&id, class, &answer);
                     match is_call {
                         true => grpc::respond(answer),
                         false => respond(answer),
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -602,9 +602,16 @@
         request: RequestId,
         /// How long the client should keep away.
         retry_after: Option<Span>,
+        /// Why.
+        reason: EndReason,
     },
     /// Final answer: failed, whether or not it ran.
-    Fail(RequestId),
+    Fail {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: EndReason,
+    },
     /// Ask for changes of the list.
     Subscribe,
     /// Ask for the complete list once.
@@ -630,3 +637,53 @@
     /// A line for the operator.
     Log(String),
 }
+
+/// Why a request ends with an answer that is not a worker's; for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// Its deadline is reached.
+    DeadlineReached,
+    /// Whichever worker took it now would start it too late.
+    TooLateToStart,
+    /// It may have run, and no worker may run it again.
+    NoRepeatAllowed,
+    /// Every attempt that the settings allow was made.
+    AttemptsExhausted,
+    /// The worker chosen for it would most likely start it too late.
+    LikelyLate,
+    /// Its tenant is beyond its share.
+    TenantOverShare,
+    /// Every worker was taken out of service by an operator.
+    AllBanned,
+}
+
+impl EndReason {
+    /// Every reason, in the order of [`EndReason::index`].
+    pub const ALL: [EndReason; 7] = [
+        EndReason::DeadlineReached,
+        EndReason::TooLateToStart,
+        EndReason::NoRepeatAllowed,
+        EndReason::AttemptsExhausted,
+        EndReason::LikelyLate,
+        EndReason::TenantOverShare,
+        EndReason::AllBanned,
+    ];
+
+    /// Its place in [`EndReason::ALL`].
+    pub fn index(self) -> usize {
+        self as usize
+    }
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndReason::DeadlineReached => "deadline_reached",
+            EndReason::TooLateToStart => "too_late_to_start",
+            EndReason::NoRepeatAllowed => "no_repeat_allowed",
+            EndReason::AttemptsExhausted => "attempts_exhausted",
+            EndReason::LikelyLate => "likely_late",
+            EndReason::TenantOverShare => "tenant_over_share",
+            EndReason::AllBanned => "all_banned",
+        }
+    }
+}
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -228,7 +228,7 @@
         let Some(job) = self.book.get(id).filter(|j| !j.ended && !j.streaming) else { return };
         let last = job.deadline - self.s.quantum;
         if self.now >= last {
-            return self.conclude(id, out);
+            return self.conclude(id, EndReason::DeadlineReached, out);
         }
         if job.outstanding() > 0 {
             return self.hurry(id, last, out);
@@ -240,8 +240,15 @@
         let takes = |id: &Wid| !job.tried(*id) && self.may_repeat(job, *id);
         let bound = class.effect != Effect::Safe && job.may_have_run();
         let stuck = over || bound && !self.fleet.ready.iter().any(takes);
-        if late || stuck || job.attempts.len() >= self.s.limits.max_attempts {
-            return self.conclude(id, out);
+        let exhausted = job.attempts.len() >= self.s.limits.max_attempts;
+        let reason = match (late, stuck, exhausted) {
+            (true, ..) => Some(EndReason::TooLateToStart),
+            (_, true, _) => Some(EndReason::NoRepeatAllowed),
+            (.., true) => Some(EndReason::AttemptsExhausted),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            return self.conclude(id, reason, out);
         }
         let (job, late_worth) = (job.clone(), class.late_worth);
         let to = self.list.is_trusted(self.now).then(|| self.choose(&job, out)).flatten();
@@ -250,13 +257,14 @@
             // What would start too late is refused: served late it is worth nothing and keeps others late.
             Some(_) if late_worth == 0.0 && chance.is_some_and(|c| c > LATE * self.thrift(&job)) => {
                 self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
-                self.conclude(id, out)
+                self.conclude(id, EndReason::LikelyLate, out)
             }
             Some(worker) if self.looks(worker, job.attempts.last().map_or(job.arrived, |a| a.sent)) => {
                 self.book.look_at(id, Some(last.min(self.now + HOLD)));
             }
             Some(worker) => self.send(id, worker, out),
-            None if job.over_share || self.fleet.all_banned() => self.conclude(id, out),
+            None if job.over_share => self.conclude(id, EndReason::TenantOverShare, out),
+            None if self.fleet.all_banned() => self.conclude(id, EndReason::AllBanned, out),
             None => self.book.look_at(id, Some(last.min(self.now + HOLD))),
         }
     }
@@ -572,7 +580,7 @@
     }
 
     /// The gate of final answers: a refusal only where it is true that a new try does no harm.
-    fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn conclude(&mut self, id: RequestId, reason: EndReason, out: &mut Vec<Action>) {
         let Some(job) = self.book.get(id).filter(|j| !j.ended && !j.streaming) else { return };
         let effect = self.s.classes[job.class.0].effect;
         // A client's new try has the same key: harmless where all workers drop repeats, and while they do.
@@ -583,8 +591,8 @@
             self.tenants[t.0].put(1.0);
         }
         out.push(match dropped || effect == Effect::Safe || !job.may_have_run() {
-            true => Action::Refuse { request: id, retry_after: None },
-            false => Action::Fail(id),
+            true => Action::Refuse { request: id, retry_after: None, reason },
+            false => Action::Fail { request: id, reason },
         });
         self.end(id, out);
     }
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -215,6 +215,10 @@
     (host, out)
 }
 
+fn fails(actions: &[Action], id: u64) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { request, .. } if *request == RequestId(id)))
+}
+
 fn cancels(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Cancel { .. }))
 }
@@ -224,7 +228,7 @@
     let (mut host, out) = goes_silent(1);
     assert!(cancels(&out), "{out:?}");
     let out = host.tell(ended(1, 0, Outcome::Cancelled, false, None));
-    assert!(matches!(out[..], [Action::Fail(RequestId(1)), ..]), "it may have run: {out:?}");
+    assert!(matches!(out[..], [Action::Fail { request: RequestId(1), .. }, ..]), "it may have run: {out:?}");
     let (mut host, out) = goes_silent(0);
     assert!(cancels(&out), "{out:?}");
     let out = host.tell(ended(1, 0, Outcome::Cancelled, false, None));
@@ -294,7 +298,7 @@
     let mut host = Host::new(settings(&[Effect::Unsafe]), 4);
     host.ask(1, 0, Some("k"));
     let after = host.tell(ended(1, 0, Outcome::ConnectionLost, false, None));
-    assert!(after.contains(&Action::Fail(RequestId(1))), "{after:?}");
+    assert!(fails(&after, 1), "{after:?}");
     assert_eq!(sent_to(&after), None);
 }
 
@@ -501,7 +505,7 @@
         let (mut host, first) = with_a_keyed_job(Group::Cell);
         away(&mut host, (0..6).filter(|at| at / 3 == rack_of(&first)).map(listing).collect());
         let out = host.tell(ended(1, 0, Outcome::ConnectionLost, false, None));
-        assert!(out.contains(&Action::Fail(RequestId(1))), "case {case}: {out:?}");
+        assert!(fails(&out, 1), "case {case}: {out:?}");
     }
 }
 
@@ -548,7 +552,7 @@
             out.extend(host.tell(ended(1, attempt, Outcome::Error, false, None)));
         }
         let said = out.iter().any(|a| matches!(a, Action::Refuse { .. }));
-        assert!(said == refused && (refused || out.contains(&Action::Fail(RequestId(1)))), "{ms}: {out:?}");
+        assert!(said == refused && (refused || fails(&out, 1)), "{ms}: {out:?}");
     }
 }
 
--- a/crates/decisions/tests/referee.rs
+++ b/crates/decisions/tests/referee.rs
@@ -67,7 +67,7 @@
                     ask.answered = true;
                     self.count("refused");
                 }
-                Action::Fail(request) => {
+                Action::Fail { request, .. } => {
                     let ask = self.asks.get_mut(&request.0).expect("a known request");
                     assert!(!ask.answered, "rule 1: answered twice");
                     ask.answered = true;
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use rookspoke_decisions::{Census, ClassId, Name};
+use rookspoke_decisions::{Census, ClassId, EndReason, Name};
 
 use super::Answer;
 
@@ -16,6 +16,8 @@
             pub classes: Box<[ClassCounters]>,
             /// What is so now.
             pub now: Gauges,
+            /// Final answers of the decisions, in the order of [`EndReason::ALL`].
+            pub concluded: [Counter; EndReason::ALL.len()],
             $($(#[$doc])* pub $name: Counter,)*
         }
 
@@ -23,7 +25,11 @@
             /// Every total with its name, in a fixed order.
             pub fn pairs(&self) -> Vec<(&'static str, u64)> {
                 let answers = [("served", self.served()), ("refused", self.refused()), ("failed", self.failed())];
-                answers.into_iter().chain([$((stringify!($name), self.$name.get()),)*]).collect()
+                let reasons = EndReason::ALL.into_iter().map(|reason| {
+                    (reason.name(), self.concluded[reason.index()].get())
+                });
+                let totals = [$((stringify!($name), self.$name.get()),)*];
+                answers.into_iter().chain(totals).chain(reasons).collect()
             }
         }
 
@@ -46,12 +52,18 @@
     malformed,
     /// Requests turned down before they were taken, for what the front knows.
     turned_down,
-    /// Client connections closed before their time: silent for too long, or to make room.
+    /// Client connections closed before their time: silent for too long, to make room, or at the end of a shutdown.
     closed,
+    /// Client connections that a graceful shutdown found open.
+    shutdown_connections,
+    /// Requests that were answered after a graceful shutdown had begun.
+    shutdown_answers,
     /// Among the refused: those that were not taken, for want of room.
     overload,
     /// Among the failed: requests that a log worker could not use.
     unusable,
+    /// Among the failed: requests that nobody had answered by their deadline.
+    overdue,
     /// Clients that left before their answer.
     client_gone,
     /// Call attempts that a transport was given.
@@ -123,6 +135,11 @@
         }
     }
 
+    /// One more final answer of the decisions, for this reason.
+    pub(crate) fn concluded(&self, reason: EndReason) {
+        self.concluded[reason.index()].add();
+    }
+
     /// One more request that is refused before it is taken, for want of room: it never ran.
     pub(crate) fn overloaded<R>(&self, class: ClassId) -> Answer<R> {
         self.overload.add();
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -14,8 +14,8 @@
     Answer, CallAttempt, Clock, Counters, Ended, Handle, Input, Operator, Probed, Transport, OPERATORS,
 };
 use rookspoke_decisions::{
-    Action, AttemptEnd, Dispatcher, Event, ListScope, LoadReport, Name, Outcome, Request, RequestId,
-    Settings, SettingsError, Span, Time,
+    Action, AttemptEnd, Dispatcher, EndReason, Event, ListScope, LoadReport, Name, Outcome, Request,
+    RequestId, Settings, SettingsError, Span, Time,
 };
 
 /// A request that the decisions left unanswered is failed this long after its deadline: the client still
@@ -335,14 +335,14 @@
                     abort.abort();
                 }
             }
-            Action::Refuse { request, retry_after } => {
-                self.say(request, "refused by the decisions");
+            Action::Refuse { request, retry_after, reason } => {
+                self.concluded(request, "refused", reason);
                 if self.ledger.answer(request, Some(Answer::Refused { retry_after })) {
                     self.over.push(request);
                 }
             }
-            Action::Fail(request) => {
-                self.say(request, "failed by the decisions");
+            Action::Fail { request, reason } => {
+                self.concluded(request, "failed", reason);
                 if self.ledger.answer(request, Some(Answer::Failed)) {
                     self.over.push(request);
                 }
@@ -364,10 +364,12 @@
         }
     }
 
-    fn say(&mut self, request: RequestId, what: &str) {
-        if let Some(entry) = self.ledger.get_mut(request) {
-            tracing::debug!(parent: &entry.span, "{what}");
-        }
+    /// Counts and logs a final answer of the decisions with its reason.
+    fn concluded(&mut self, request: RequestId, answer: &str, reason: EndReason) {
+        let Some(entry) = self.ledger.get_mut(request).filter(|entry| !entry.answered()) else { return };
+        let (attempts, reason_name) = (entry.attempts.len(), reason.name());
+        tracing::debug!(parent: &entry.span, attempts, reason = reason_name, "the decisions: {answer}");
+        self.counters.concluded(reason);
     }
 
     fn send(&mut self, now: Time, request: RequestId, worker: Name, timeout: Option<Span>, by: Time) {
@@ -385,6 +387,9 @@
         }
         let deadline = timeout.map_or(entry.deadline, |t| entry.deadline.min(now + t));
         let call = entry.call.clone();
+        if attempt > 0 {
+            tracing::debug!(parent: &entry.span, attempt, %worker, "sent again");
+        }
         let span = tracing::info_span!(parent: &entry.span, "attempt", attempt, %worker);
         let future = self.transport.send(CallAttempt { request, attempt, worker, deadline, by, call });
         let abort = self.running.spawn(async { Done::Attempt(future.await) }.instrument(span));
@@ -399,8 +404,10 @@
         let limit = self.clock.now() - OVERDUE;
         while let Some(id) = self.ledger.overdue(limit) {
             if let Some(entry) = self.ledger.get_mut(id) {
-                tracing::warn!(parent: &entry.span, "left unanswered past its deadline; it is failed");
+                let attempts = entry.attempts.len();
+                tracing::warn!(parent: &entry.span, attempts, "left unanswered past its deadline; it is failed");
             }
+            self.counters.overdue.add();
             self.ledger.answer(id, Some(Answer::Failed));
             self.over.push(id);
             self.events.push_back(Event::ClientGone(id));
--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -605,8 +605,8 @@
                     self.ended(attempt, Outcome::Cancelled);
                 }
             }
-            Action::Refuse { request, retry_after } => self.answer(request.0, true, false, retry_after),
-            Action::Fail(request) => self.answer(request.0, false, false, None),
+            Action::Refuse { request, retry_after, .. } => self.answer(request.0, true, false, retry_after),
+            Action::Fail { request, .. } => self.answer(request.0, false, false, None),
             Action::Subscribe | Action::FetchList => self.call_discovery(seat),
             Action::SetTimer { at, token } => {
                 self.seats[seat].timers.insert((at, token));
--- a/crates/emulator/src/policy/bad.rs
+++ b/crates/emulator/src/policy/bad.rs
@@ -64,7 +64,7 @@
         let mut at = from;
         while at < out.len() {
             let ends = match &out[at] {
-                Action::Refuse { request, .. } | Action::Fail(request) => Some(*request),
+                Action::Refuse { request, .. } | Action::Fail { request, .. } => Some(*request),
                 _ => None,
             };
             if let Some(request) = ends {
--- a/crates/emulator/src/policy/simple.rs
+++ b/crates/emulator/src/policy/simple.rs
@@ -7,8 +7,8 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 use rookspoke_decisions::{
-    Action, Effect, Event, ListScope, Name, Note, Outcome, Readiness, Request, RequestId, Settings, Span,
-    Time,
+    Action, Effect, EndReason, Event, ListScope, Name, Note, Outcome, Readiness, Request, RequestId,
+    Settings, Span, Time,
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -241,9 +241,14 @@
         let last = job.request.deadline - self.s.quantum;
         let spent = job.attempts.len() >= self.s.limits.max_attempts;
         if now >= last || spent || (ran && class.effect == Effect::Unsafe) {
+            let reason = match (now >= last, spent) {
+                (true, _) => EndReason::DeadlineReached,
+                (_, true) => EndReason::AttemptsExhausted,
+                _ => EndReason::NoRepeatAllowed,
+            };
             out.push(match ran && class.effect == Effect::Unsafe {
-                true => Action::Fail(id),
-                false => Action::Refuse { request: id, retry_after: None },
+                true => Action::Fail { request: id, reason },
+                false => Action::Refuse { request: id, retry_after: None, reason },
             });
             self.jobs.remove(&id);
             self.waiting.remove(&id);
--- a/crates/guard/src/limit.rs
+++ b/crates/guard/src/limit.rs
@@ -63,6 +63,15 @@
     leaving: usize,
 }
 
+/// How many connections there are at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionCensus {
+    /// All of them.
+    pub open: usize,
+    /// Those whose client waits for an answer, or for the rest of one.
+    pub owed: usize,
+}
+
 /// A fixed number of places.
 #[derive(Clone)]
 pub struct ConnectionLimit(Arc<Shared>);
@@ -111,6 +120,13 @@
         Permit(Arc::new(Taken { limit: self.clone(), number, leave }))
     }
 
+    /// How many connections there are, and how many of them are owed an answer.
+    pub fn census(&self) -> ConnectionCensus {
+        let seats = self.0.lock();
+        let owed = seats.taken.values().filter(|seat| seat.stage >= Stage::Answered).count();
+        ConnectionCensus { open: seats.taken.len(), owed }
+    }
+
     /// Ends when a place has become free since the last time.
     pub async fn freed(&self) {
         self.0.freed.notified().await;
@@ -142,7 +158,9 @@
                 Stage::Answered => patience.unread,
                 Stage::Owed => continue,
             };
-            if !seat.leaving && now.saturating_duration_since(seat.since) >= most {
+            let silent_for = now.saturating_duration_since(seat.since);
+            if !seat.leaving && silent_for >= most {
+                tracing::debug!(stage = ?seat.stage, ?silent_for, "a connection is closed: silent for too long");
                 *leaving += 1;
                 seat.tell_to_leave();
             }
@@ -168,6 +186,7 @@
         candidates.sort_unstable();
         let silent = candidates.iter().find(|c| self.taken.get(&c.2).is_some_and(|s| !(s.unread)()));
         if let Some(seat) = silent.and_then(|c| self.taken.get_mut(&c.2)) {
+            tracing::debug!(stage = ?seat.stage, "a connection is closed: it makes room for another");
             seat.tell_to_leave();
             self.leaving += 1;
         }
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -17,7 +17,7 @@
 use tower::Service;
 
 use rookspoke_channel::{plain, ResponseBody, MAX_BUFFER};
-use rookspoke_guard::{ConnectionLimit, Framed, Listener, Patience, Permit, Socket};
+use rookspoke_guard::{ConnectionCensus, ConnectionLimit, Framed, Listener, Patience, Permit, Socket};
 
 use crate::serving::Serving;
 
@@ -70,8 +70,8 @@
         let mut stop = std::pin::pin!(async {
             stop.await;
             self.serving.leaves();
+            self.log_phase("SIGTERM received, new connections are still accepted");
             if !shared {
-                tracing::info!("told to end; clients have {GRACE:?} more");
                 tokio::time::sleep(GRACE).await;
             }
         });
@@ -93,25 +93,37 @@
         while let Some((socket, permit)) = listener.last(shared).await {
             self.open(socket, permit, &mut connections, closing.clone());
         }
+        self.log_phase("the listener is closed, open connections are still served");
         let mut shut = std::pin::pin!(listener.shut());
         // Until the last of what was taken so far is answered the process stays anyway: for a while it goes on
         // serving those that are connected, unless the other process can.
         let (stay, finish) = if shared { (Duration::ZERO, GRACE + FINISH) } else { (STAY, FINISH) };
         self.serving.channel().end_within(finish);
+        let open = self.limit.census().open;
+        (0..open).for_each(|_| self.serving.channel().counters().shutdown_connections.add());
         let mut last = std::pin::pin!(async {
             let _ = tokio::time::timeout(stay, self.limit.settled()).await;
             close.send_replace(true);
+            self.log_phase("open connections are told to close");
             std::future::pending().await
         });
         loop {
             tokio::select! {
-                ended = connections.join_next() => if ended.is_none() { return },
+                ended = connections.join_next() => if ended.is_none() {
+                    return self.log_phase("every connection is closed");
+                },
                 () = &mut shut => {}
                 () = &mut last => {}
             }
         }
     }
 
+    /// Logs a phase of the shutdown with what is open in it.
+    fn log_phase(&self, phase: &str) {
+        let ConnectionCensus { open, owed } = self.limit.census();
+        tracing::info!(connections = open, awaiting_answer = owed, "shutdown: {phase}");
+    }
+
     fn open(
         &self,
         socket: Socket,
--- a/crates/wire/src/encode.rs
+++ b/crates/wire/src/encode.rs
@@ -32,10 +32,10 @@
             writeln!(out, "call_out\t{request}\t{worker}\t{}", ms_or_absent(*timeout))
         }
         Action::Cancel { request, attempt } => writeln!(out, "abandon\t{request}\t{attempt}"),
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             writeln!(out, "deny\t{request}\t{}", ms_or_absent(*retry_after))
         }
-        Action::Fail(request) => writeln!(out, "surrender\t{request}"),
+        Action::Fail { request, .. } => writeln!(out, "surrender\t{request}"),
         Action::Subscribe => writeln!(out, "watch\t1"),
         Action::FetchList => writeln!(out, "read_list"),
         Action::SetTimer { at, token } => writeln!(out, "wake_at\t{}\t{token}", at.ms()),
