--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -224,6 +224,11 @@
         assert!(done.expect("kill runs").success());
     }
 
+    /// Kills it at once.
+    pub fn kill(&self) {
+        self.signal("KILL");
+    }
+
     pub fn wait_exit(&mut self) -> ExitStatus {
         wait_for("the daemon's end", || self.child.try_wait().expect("a child"))
     }
@@ -412,6 +417,12 @@
         self.seen.lock().expect("requests").len()
     }
 
+    /// The ids of the requests that came.
+    pub fn ids(&self) -> Vec<String> {
+        let seen = self.seen.lock().expect("requests");
+        seen.iter().filter_map(|request| request.header("x-correlation-id").map(str::to_owned)).collect()
+    }
+
     pub fn entry(&self, state: &str) -> Value {
         entry(&self.uid, self.address, state)
     }
--- /dev/null
+++ b/crates/rookspoke/tests/shutdown.rs
@@ -0,0 +1,329 @@
+//! Graceful shutdown with SIGKILL at the earliest moment that the platform allows: the longest deadline, 3 s at most, and
+//! 0.7 s more after SIGTERM. Until then clients use every connection that stays open.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::world::*;
+
+/// What the platform counts of the longest deadline, at most.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// Between that and SIGKILL; also the age after SIGTERM up to which a request may be open at SIGKILL.
+const ALLOWANCE: Duration = Duration::from_millis(700);
+/// New connections come for this long after SIGTERM.
+const STILL_CONNECT: Duration = Duration::from_millis(400);
+/// What the clients that are in a hurry wait for, whatever the longest deadline is.
+const SHORT_WAIT: Duration = Duration::from_millis(600);
+/// A play whose own signals were later than this proves nothing.
+const LATE: Duration = Duration::from_millis(60);
+/// Plays that may prove nothing before the machine is too busy for any.
+const VOID_PLAYS: usize = 8;
+
+/// What a client sent, and what became of it.
+#[derive(Debug)]
+struct Sent {
+    id: String,
+    /// Its last byte was written.
+    at: Instant,
+    status: Option<u16>,
+    /// Its answer was there, or its connection had ended.
+    ended: Instant,
+}
+
+/// How a client behaves.
+#[derive(Clone, Copy, Debug)]
+enum Client {
+    /// Sends the next request on its connection as soon as the last is answered.
+    Busy,
+    /// Connects while that is still possible, and sends its first request this long after SIGTERM.
+    FirstRequestAt(Duration),
+    /// Sends half of a request's body before SIGTERM, and the rest this long after it.
+    BodyEndsAt(Duration),
+    /// The same on a connection that was used before, with half of the head.
+    HeadEndsAt(Duration),
+}
+
+/// How the log workers of a play behave.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Workers {
+    /// They take this part of the deadline for each job.
+    Take(f64),
+    /// They never answer.
+    Hang,
+}
+
+/// One play: a daemon, its log workers and clients, a series of signals, and SIGKILL at the earliest moment.
+struct Play {
+    deadline: Duration,
+    workers: Workers,
+    clients: Vec<Client>,
+    /// Sent one after the other; the last TERM before SIGKILL's clock is the first of them.
+    signals: &'static [&'static str],
+    /// Bare connections are opened and dropped all the time.
+    flood: bool,
+}
+
+impl Play {
+    fn new(deadline_ms: u64, workers: Workers, clients: Vec<Client>) -> Self {
+        let deadline = Duration::from_millis(deadline_ms);
+        Play { deadline, workers, clients, signals: &["TERM"], flood: false }
+    }
+
+    fn kill_after(&self) -> Duration {
+        self.deadline.min(LONGEST_COUNTED) + ALLOWANCE
+    }
+
+    /// Plays until one play was on time, and gives the requests that were lost in it.
+    fn lost(&self) -> Vec<String> {
+        (0..VOID_PLAYS).find_map(|_| self.once()).expect("the machine is too busy: every play was void")
+    }
+
+    /// None, if the signals of this play were late.
+    fn once(&self) -> Option<Vec<String>> {
+        let takes = match self.workers {
+            Workers::Take(part) => Some(self.deadline.mul_f64(part)),
+            Workers::Hang => None,
+        };
+        let workers: Vec<Worker> = (0..6).map(|n| worker(&format!("w-{n}"), takes)).collect();
+        let discovery = Discovery::of(&workers.iter().collect::<Vec<_>>());
+        let mut config = config(discovery.address);
+        for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+            class["deadline_ms"] = (self.deadline.as_millis() as f64).into();
+            class["goal_time_ms"] = class["deadline_ms"].clone();
+        }
+        config["settings"]["specifics"]["class_stretch"] = serde_json::json!([0.0, 0.0]);
+        let daemon = Daemon::start(&config, None);
+        daemon.wait_ready();
+        let http = daemon.address("http");
+
+        let term = Arc::new(Mutex::new(None));
+        let clients = (0..).zip(self.clients.iter().copied()).map(|(number, client)| {
+            let (term, deadline) = (term.clone(), self.deadline);
+            thread::spawn(move || Run { http, deadline, number, term, sent: Vec::new() }.run(client))
+        });
+        let clients: Vec<_> = clients.collect();
+        let flooding = Arc::new(AtomicBool::new(self.flood));
+        let flood = {
+            let flooding = flooding.clone();
+            thread::spawn(move || {
+                while flooding.load(Ordering::Relaxed) {
+                    drop(TcpStream::connect(http))
+                }
+            })
+        };
+        thread::sleep(Duration::from_millis(300));
+
+        let start = Instant::now();
+        for signal in self.signals {
+            if *signal == "TERM" && term.lock().expect("SIGTERM").is_none() {
+                *term.lock().expect("SIGTERM") = Some(Instant::now());
+            }
+            daemon.signal(signal);
+        }
+        let told = start.elapsed();
+        let term = term.lock().expect("SIGTERM").expect("a SIGTERM among the signals");
+        thread::sleep((term + self.kill_after()).saturating_duration_since(Instant::now()));
+        let kill = Instant::now();
+        daemon.kill();
+        let late = told > LATE || kill > term + self.kill_after() + LATE;
+        flooding.store(false, Ordering::Relaxed);
+        flood.join().expect("the flood");
+        let sent: Vec<Sent> =
+            clients.into_iter().flat_map(|client| client.join().expect("a client")).collect();
+        if late {
+            return None;
+        }
+        assert!(sent.iter().filter(|sent| sent.at > term).count() > 0, "nothing was sent after SIGTERM");
+        let seen: BTreeSet<String> = workers.iter().flat_map(Worker::ids).collect();
+        let log = daemon.log().join("\n");
+        let lost = sent.iter().filter(|sent| {
+            let taken = seen.contains(&sent.id) || log.contains(&sent.id) || sent.ended >= kill;
+            let exempt = sent.at <= term + ALLOWANCE && sent.ended >= kill;
+            sent.status.is_none() && taken && !exempt
+        });
+        let tell = |sent: &Sent| {
+            let after = |at: Instant| at.saturating_duration_since(term).as_millis();
+            format!(
+                "{} sent {} ms after SIGTERM, ended after {} ms",
+                sent.id,
+                after(sent.at),
+                after(sent.ended)
+            )
+        };
+        Some(lost.map(tell).collect())
+    }
+}
+
+/// A log worker that takes this long for each job, or hangs.
+fn worker(uid: &str, takes: Option<Duration>) -> Worker {
+    Worker::start(uid, move |request, to| {
+        let Some(takes) = takes else {
+            thread::sleep(PATIENCE);
+            return false;
+        };
+        thread::sleep(takes);
+        serve(request, to, "fine");
+        true
+    })
+}
+
+/// A client at work.
+struct Run {
+    http: SocketAddr,
+    deadline: Duration,
+    number: u64,
+    term: Arc<Mutex<Option<Instant>>>,
+    sent: Vec<Sent>,
+}
+
+impl Run {
+    fn run(mut self, client: Client) -> Vec<Sent> {
+        match client {
+            Client::Busy => {
+                let mut connection = connect(self.http);
+                while self.whole(&mut connection) {
+                    thread::sleep(Duration::from_millis(10));
+                }
+            }
+            Client::FirstRequestAt(at) => {
+                self.sleep_until(STILL_CONNECT - Duration::from_millis(60));
+                if let Ok(stream) = TcpStream::connect(self.http) {
+                    self.sleep_until(at);
+                    self.whole(&mut BufReader::new(stream));
+                }
+            }
+            Client::BodyEndsAt(at) => self.in_halves(&mut connect(self.http), at, true),
+            Client::HeadEndsAt(at) => {
+                let mut connection = connect(self.http);
+                self.whole(&mut connection);
+                self.in_halves(&mut connection, at, false);
+            }
+        }
+        self.sent
+    }
+
+    /// Waits until so long after SIGTERM.
+    fn sleep_until(&self, after: Duration) {
+        let term = wait_for("SIGTERM", || *self.term.lock().expect("SIGTERM"));
+        thread::sleep((term + after).saturating_duration_since(Instant::now()));
+    }
+
+    fn request(&self) -> (String, Vec<u8>) {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let class = if self.number.is_multiple_of(3) { "qso-confirm" } else { "log-lookup" };
+        // Some clients wait for less than the longest deadline.
+        let waits = if self.number.is_multiple_of(2) { self.deadline } else { self.deadline.min(SHORT_WAIT) };
+        let text = post(class, &id, waits.as_millis() as u32, "0123456789");
+        (id, text)
+    }
+
+    /// Sends a request and waits for its answer; false once the connection has ended.
+    fn whole(&mut self, connection: &mut BufReader<TcpStream>) -> bool {
+        let (id, text) = self.request();
+        connection.get_mut().write_all(&text).is_ok() && self.answer(id, connection)
+    }
+
+    fn in_halves(&mut self, connection: &mut BufReader<TcpStream>, at: Duration, in_body: bool) {
+        let (id, text) = self.request();
+        let (first, rest) = text.split_at(if in_body { text.len() - 5 } else { text.len() / 2 });
+        if connection.get_mut().write_all(first).is_ok() {
+            self.sleep_until(at);
+            if connection.get_mut().write_all(rest).is_ok() {
+                self.answer(id, connection);
+            }
+        }
+    }
+
+    fn answer(&mut self, id: String, connection: &mut BufReader<TcpStream>) -> bool {
+        let at = Instant::now();
+        let status = read_message(connection).map(|answer| answer.status);
+        self.sent.push(Sent { id, at, status, ended: Instant::now() });
+        status.is_some()
+    }
+}
+
+fn connect(to: SocketAddr) -> BufReader<TcpStream> {
+    BufReader::new(send(to, b""))
+}
+
+/// Busy clients, and ones that use what is open at any moment up to the kill.
+fn every_client(kill_after: Duration) -> Vec<Client> {
+    let moments = (0..12).map(|step| kill_after.mul_f64(0.4 + 0.05 * f64::from(step)));
+    let mut clients = vec![Client::Busy; 10];
+    for at in moments {
+        clients.extend([Client::FirstRequestAt(at), Client::BodyEndsAt(at), Client::HeadEndsAt(at)]);
+    }
+    clients
+}
+
+/// Plays side by side; each has processes of its own.
+fn plays(plays: Vec<(String, Play)>) {
+    let running = plays.into_iter().map(|(name, play)| (name, thread::spawn(move || play.lost())));
+    let running: Vec<_> = running.collect();
+    let lost: Vec<_> = running.into_iter().map(|(name, play)| (name, play.join().expect("a play"))).collect();
+    let lost: Vec<_> = lost.into_iter().filter(|(_, lost)| !lost.is_empty()).collect();
+    assert!(lost.is_empty(), "requests were lost: {lost:#?}");
+}
+
+/// The staging incident of 2026-12-02: deadlines of 0.7 and 1.2 s, busy clients, one hanging or slow log worker.
+#[test]
+fn a_shutdown_loses_nothing_when_the_kill_follows_a_short_deadline() {
+    let play = |ms, workers| Play::new(ms, workers, vec![Client::Busy; 12]);
+    let cases = [200, 700, 1_200].into_iter().flat_map(|ms| {
+        [Workers::Take(0.6), Workers::Hang]
+            .map(|workers| (format!("{ms} ms, {workers:?}"), play(ms, workers)))
+    });
+    plays(cases.collect());
+}
+
+#[test]
+fn a_shutdown_loses_nothing_when_the_kill_follows_a_long_deadline() {
+    let play = |ms, workers| Play::new(ms, workers, vec![Client::Busy; 12]);
+    let cases = [3_000, 10_000].into_iter().flat_map(|ms| {
+        [Workers::Take(0.2), Workers::Hang]
+            .map(|workers| (format!("{ms} ms, {workers:?}"), play(ms, workers)))
+    });
+    plays(cases.collect());
+}
+
+/// First requests on connections that were accepted late, and requests whose last bytes come at any moment of the shutdown.
+#[test]
+fn a_shutdown_loses_no_request_that_becomes_whole_at_any_moment_of_it() {
+    let cases = [200, 700, 1_200, 3_000].into_iter().flat_map(|ms| {
+        [Workers::Take(0.3), Workers::Hang].map(|workers| {
+            let mut play = Play::new(ms, workers, Vec::new());
+            play.clients = every_client(play.kill_after());
+            (format!("{ms} ms, {workers:?}"), play)
+        })
+    });
+    plays(cases.collect());
+}
+
+/// Signals that come in series, and connections that come without end, neither delay nor restart the shutdown.
+#[test]
+fn a_shutdown_loses_nothing_under_signals_in_series_and_a_flood_of_connections() {
+    let series: [&'static [&'static str]; 4] = [
+        &["HUP", "TERM"],
+        &["TERM", "TERM"],
+        &["TERM", "HUP", "HUP"],
+        &["HUP", "HUP", "TERM", "HUP", "TERM"],
+    ];
+    let mut cases: Vec<_> = series
+        .into_iter()
+        .map(|signals| {
+            let play = Play::new(700, Workers::Take(0.6), vec![Client::Busy; 12]);
+            (format!("{signals:?}"), Play { signals, ..play })
+        })
+        .collect();
+    let play = Play::new(700, Workers::Take(0.6), vec![Client::Busy; 12]);
+    cases.push(("a flood".into(), Play { flood: true, ..play }));
+    plays(cases);
+}
