Derive every step of a shutdown from the longest deadline, not from fixed times

SIGKILL comes at the longest deadline + 0.7 s, so with 0.7 and 1.2 s connections were open, and answers planned, beyond the kill. Ruled out: late signals, a reload, an early exit (logs); hanging log workers only lengthen the phase. Change: a pure plan (shutdown.rs) counts each step back from the earliest kill; the front is split into accepting (front.rs) and one connection (connection.rs); a cut-off ends unused connections and turns down requests that are not whole; the backlog is bounded in time; SIGTERM has its own task and signals are listened for before the configuration is read; half a request is waited for 2.5 s, not 5.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -13,7 +13,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -31,7 +31,7 @@
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
     Ban, ClassId, Discovery, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError,
-    Span, Time,
+    Span,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -44,8 +44,9 @@
 const STATS: &str = "/stats";
 /// What a connection holds of a head, and of a body at a time: a thousand connections must fit in memory.
 pub const MAX_BUFFER: usize = 16 * 1024;
-/// A request whose body takes longer than this to come is given up.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// A request whose body takes longer than this to come is given up: a client that stops in the middle of a request is
+/// owed its error within 3 s.
+const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Connections to log workers, as a part of the descriptors: clients need more, and a few are spare.
 const WORKER_PART: f64 = 0.42;
 /// The same of what is shared with another process.
@@ -84,6 +85,15 @@
 
 type Notes = Arc<dyn Fn(RequestId, usize, Note) -> BoxFuture<'static, ()> + Send + Sync>;
 
+/// What a shutdown allows to requests that are taken after it was announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownLimits {
+    /// A body that is not whole by then is given up.
+    pub body_by: Instant,
+    /// Every request has its answer by then.
+    pub answer_by: Instant,
+}
+
 /// Takes requests and answers each once; clones share one core.
 #[derive(Clone)]
 pub struct Channel {
@@ -95,8 +105,8 @@
     open_ids: OpenIds,
     /// What a refused client is told, where the decisions say nothing else; none where it hears no advice.
     come_back: Option<Span>,
-    /// When the process ends, once that is known.
-    end: Arc<OnceLock<Time>>,
+    /// By when what is taken must be over, once a shutdown has begun.
+    shutdown: watch::Sender<Option<ShutdownLimits>>,
     /// For each class, how far its requests may be repeated.
     effects: Arc<[Effect]>,
     fleet: Fleet,
@@ -144,7 +154,7 @@
         let limits = &config.settings.limits;
         let come_back = limits.retry_after.then(|| COME_BACK.min(limits.max_retry_after));
         let open_ids = OpenIds::default();
-        let end = Arc::default();
+        let shutdown = watch::Sender::new(None);
         let effects = config.settings.classes.iter().map(|class| class.effect).collect();
         (
             Channel {
@@ -155,7 +165,7 @@
                 orders,
                 open_ids,
                 come_back,
-                end,
+                shutdown,
                 effects,
                 fleet,
                 sockets,
@@ -176,7 +186,7 @@
 
     /// Logs and counts an answer that is given after a shutdown has begun.
     fn log_at_shutdown(&self, id: &HeaderValue, class: ClassId, answer: &Answer<Bytes>) {
-        let Some(end) = self.end.get() else { return };
+        let Some(limits) = *self.shutdown.borrow() else { return };
         let answer = match answer {
             Answer::Served(_) => "served",
             Answer::Refused { .. } => "refused",
@@ -184,7 +194,7 @@
         };
         self.counters().shutdown_answers.add();
         let class = self.words.classes[class.0].as_ref();
-        let left_ms = self.clock.until(*end).as_millis() as u64;
+        let left_ms = limits.answer_by.saturating_duration_since(Instant::now()).as_millis() as u64;
         tracing::info!(
             id = id.to_str().unwrap_or_default(),
             class,
@@ -225,9 +235,18 @@
         }
     }
 
-    /// Answers all that is taken from now on within this time.
-    pub fn end_within(&self, time: Duration) {
-        let _ = self.end.set(self.clock.at(Instant::now() + time));
+    /// Holds what is taken from now on to the limits of a shutdown.
+    pub fn begin_shutdown(&self, limits: ShutdownLimits) {
+        self.shutdown.send_replace(Some(limits));
+    }
+
+    /// Ends when bodies are waited for no longer.
+    async fn bodies_are_cut_off(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        // The sender lives as long as `self`.
+        let limits = shutdown.wait_for(Option::is_some).await.ok().and_then(|limits| *limits);
+        let cut_off = limits.map_or(Instant::now(), |limits| limits.body_by);
+        tokio::time::sleep_until(cut_off.into()).await;
     }
 
     /// Waits until there is a first list of log workers.
@@ -259,15 +278,21 @@
         if body.size_hint().lower() > MAX_BODY as u64 {
             return Err(BadRequest::TooLong);
         }
-        let body = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await;
-        let body = body.map_err(|_| BadRequest::TooSlow)?;
+        let body = tokio::select! {
+            // What is here goes first.
+            biased;
+            body = Limited::new(body, MAX_BODY).collect() => body,
+            () = tokio::time::sleep(BODY_TIMEOUT) => return Err(BadRequest::TooSlow),
+            () = self.bodies_are_cut_off() => return Err(BadRequest::TooSlow),
+        };
         let body = body.map_err(|e| match e.is::<LengthLimitError>() {
             true => BadRequest::TooLong,
             false => BadRequest::Broken,
         })?;
         // The client's time counts from the request's last byte, which is here now.
         let deadline = self.clock.now() + time_left;
-        let deadline = self.end.get().map_or(deadline, |end| deadline.min(*end));
+        let answer_by = self.shutdown.borrow().map(|limits| self.clock.at(limits.answer_by));
+        let deadline = answer_by.map_or(deadline, |answer_by| deadline.min(answer_by));
         let body = body.to_bytes();
         let body = if grpc::is_call(&parts.headers) { grpc::unframe(body)? } else { body };
         let open = self.open_ids.open(&id)?;
--- a/crates/guard/src/framing.rs
+++ b/crates/guard/src/framing.rs
@@ -74,6 +74,13 @@
         matches!(self.at, At::Lost)
     }
 
+    /// Turns down the request whose head has begun and not ended: what the library gets makes it answer so and close.
+    pub fn give_up(&mut self, out: &mut BytesMut) {
+        self.held.clear();
+        self.at = At::Lost;
+        out.extend_from_slice(POISON);
+    }
+
     /// Takes what came, and appends to `out` what may be read.
     pub fn feed(&mut self, bytes: &[u8], out: &mut BytesMut) -> Fed {
         let mut fed = Fed::default();
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use limit::{ConnectionCensus, ConnectionLimit, Patience, Permit};
 pub use listener::Listener;
-pub use socket::{Framed, Socket, SocketEnd};
+pub use socket::{CutOff, Framed, Socket, SocketEnd};
--- a/crates/guard/src/limit.rs
+++ b/crates/guard/src/limit.rs
@@ -231,9 +231,10 @@
         }
     }
 
-    /// Whether its first request has not come yet, or not whole.
-    pub fn is_new(&self) -> bool {
-        self.0.limit.0.lock().taken.get(&self.0.number).is_some_and(|seat| seat.stage == Stage::New)
+    /// Whether a request may be on its way: its first has not come yet, or a further one is not whole.
+    pub fn expects_request(&self) -> bool {
+        let expects = |seat: &Seat| matches!(seat.stage, Stage::New | Stage::Part);
+        self.0.limit.0.lock().taken.get(&self.0.number).is_some_and(expects)
     }
 
     /// A whole request has come: an answer is owed.
--- a/crates/guard/src/listener.rs
+++ b/crates/guard/src/listener.rs
@@ -1,6 +1,7 @@
 //! Where connections come in: each gets its place before it is served.
 
-use std::time::Duration;
+use std::io;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::time::{Interval, MissedTickBehavior};
@@ -62,20 +63,35 @@
     }
 
     /// A connection that has come already, before it is shut: its client would see a reset. Of a `shared`
-    /// listener only those that are accepted: the others are for whoever shares it.
-    pub async fn last(&mut self, shared: bool) -> Option<(Socket, Permit)> {
+    /// listener only those that are accepted: the others are for whoever shares it. However many come, it ends by `by`;
+    /// an accept that fails for a moment is tried again until then.
+    pub async fn last(&mut self, shared: bool, by: Instant) -> Option<(Socket, Permit)> {
         let socket = match self.waiting.take() {
             Some(socket) => socket,
             None if shared => return None,
-            None => match tokio::time::timeout(LATE, self.listener.accept()).await {
-                Ok(Ok((stream, _))) => Socket::new(stream),
-                _ => return None,
-            },
+            None => self.accept_waiting(by).await?,
         };
         let permit = self.limit.squeeze_in(socket.unread());
         Some((socket, permit))
     }
 
+    async fn accept_waiting(&self, by: Instant) -> Option<Socket> {
+        while Instant::now() < by {
+            match tokio::time::timeout(LATE, self.listener.accept()).await {
+                Ok(Ok((stream, _))) => return Some(Socket::new(stream)),
+                Ok(Err(error)) => {
+                    tracing::warn!("accept: {error}");
+                    if error.kind() != io::ErrorKind::ConnectionAborted {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                }
+                Err(_) => return None,
+            }
+        }
+        tracing::warn!("connections still wait to be accepted as the listener closes");
+        None
+    }
+
     /// Lets nobody in any more, and goes on looking for those who take too long.
     pub async fn shut(self) {
         drop(self.listener);
--- a/crates/guard/src/socket.rs
+++ b/crates/guard/src/socket.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -156,14 +156,33 @@
     judged: BytesMut,
     count: Count,
     answers: Arc<AtomicU64>,
+    cut_off: CutOff,
     permit: Permit,
 }
 
+/// Says that a head which is not whole by now is waited for no longer; clones share it. The socket's reader has to be
+/// polled after that.
+#[derive(Clone, Default)]
+pub struct CutOff(Arc<AtomicBool>);
+
+impl CutOff {
+    /// From now on.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+}
+
 impl Framed {
     /// Follows a socket; `answers` counts the answers given on it.
     pub fn new(socket: Socket, permit: Permit, answers: Arc<AtomicU64>) -> Self {
         let (framing, judged) = (Framing::default(), BytesMut::new());
-        Framed { socket, framing, judged, count: Count::default(), answers, permit }
+        let (count, cut_off) = (Count::default(), CutOff::default());
+        Framed { socket, framing, judged, count, answers, cut_off, permit }
+    }
+
+    /// How to cut off a head that does not end.
+    pub fn cut_off(&self) -> CutOff {
+        self.cut_off.clone()
     }
 
     fn tell(&mut self) {
@@ -187,7 +206,13 @@
         while this.judged.is_empty() && !this.framing.is_lost() {
             let mut bytes = [0; READ];
             let mut read = ReadBuf::new(&mut bytes);
-            ready!(Pin::new(&mut this.socket).poll_read(cx, &mut read))?;
+            match Pin::new(&mut this.socket).poll_read(cx, &mut read) {
+                Poll::Pending if this.framing.holds() && this.cut_off.0.load(Ordering::Acquire) => {
+                    this.framing.give_up(&mut this.judged);
+                    break;
+                }
+                done => ready!(done)?,
+            }
             if read.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rookspoke_channel::Channel;
 use rookspoke_config::Config;
@@ -13,7 +13,6 @@
 use rookspoke_vrrp as vrrp;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -26,6 +25,7 @@
 use crate::serving::Serving;
 use crate::setup::{Setup, When};
 use crate::share::{self, Share};
+use crate::signals::Signals;
 
 /// Why the daemon could not start.
 #[derive(Debug, Error)]
@@ -53,6 +53,8 @@
     counters: Vec<(&'static str, Arc<Counters>)>,
     vrrp: Option<(Arc<vrrp::VrrpCounters>, watch::Receiver<bool>)>,
     stop: watch::Sender<bool>,
+    /// What clients wait for at most: what a shutdown has to be over by follows from it.
+    longest_deadline: watch::Sender<Duration>,
     /// Once the HTTP front is up.
     serving: Option<Serving>,
     /// What operators ask of the Faktory front, if it is on.
@@ -101,7 +103,8 @@
         if let Some(console) = console {
             self.start_console(config, console, serving.clone()).await?;
         }
-        let front = Front::new(serving.clone(), share::clients(config.limits.sockets));
+        let clients = share::clients(config.limits.sockets);
+        let front = Front::new(serving.clone(), clients, self.longest_deadline.subscribe());
         // A listener that is handed on goes from one process to the next under load.
         if let (Some(_), Some(folder)) = (config.accept_fd, &config.state) {
             if let Some(mut share) = Share::take(folder, front.limit().clone(), config.limits.sockets) {
@@ -209,12 +212,24 @@
         if let (Some(serving), true) = (&self.serving, list) {
             serving.channel().take_list_from(new.config.source.clone()).await;
         }
+        // Whether the platform counts by the old deadlines or by the new ones, a shutdown is over in time.
+        let longest = longest_deadline(&new.config);
+        self.longest_deadline.send_if_modified(|held| {
+            let shorter = longest < *held;
+            *held = longest.min(*held);
+            shorter
+        });
         // What only a restart heeds is still as it was, and so is told again at the next reload.
         setup.resolved.take_live(&new.resolved);
         setup.config.source = new.config.source;
     }
 }
 
+/// What clients of any class wait for at most.
+fn longest_deadline(config: &Config) -> Duration {
+    config.class_time.iter().copied().max().unwrap_or_default()
+}
+
 fn words(keys: &[String]) -> String {
     match keys {
         [] => "nothing".into(),
@@ -226,12 +241,13 @@
 ///
 /// # Errors
 /// Something that it needs cannot be had at the start.
-pub async fn run(from: &Given, mut setup: Setup, logging: Arc<Logging>) -> Result<ExitCode, StartError> {
-    // First of all: unheeded, any of these ends the process.
-    let heed = |name, kind| signal(kind).map_err(|e| StartError::Io(name, e));
-    let mut terminate = heed("SIGTERM", SignalKind::terminate())?;
-    let mut report = heed("SIGUSR1", SignalKind::user_defined1())?;
-    let mut reload = heed("SIGHUP", SignalKind::hangup())?;
+pub async fn run(
+    from: &Given,
+    mut setup: Setup,
+    logging: Arc<Logging>,
+    signals: Signals,
+) -> Result<ExitCode, StartError> {
+    let Signals { mut terminate, mut report, mut reload } = signals;
     let control = setup.control.as_ref().map(|control| Control::open(&control.path)).transpose()?;
     let mut daemon = Daemon {
         parts: JoinSet::new(),
@@ -239,6 +255,7 @@
         counters: Vec::new(),
         vrrp: None,
         stop: watch::Sender::new(false),
+        longest_deadline: watch::Sender::new(longest_deadline(&setup.config)),
         serving: None,
         faktory: None,
         operators: JoinSet::new(),
@@ -251,12 +268,16 @@
     daemon.start_http(&setup.config).await?;
     tracing::info!("{}: the list comes from {}", setup.config.name, setup.config.source);
     let _control = control.map(|control| daemon.start_control(&setup.config.name, control));
+    // Apart from the loop below: nothing that it waits for holds a shutdown up.
+    let stop = daemon.stop.clone();
+    let mut shutdown = JoinSet::new();
+    shutdown.spawn(async move {
+        terminate.recv().await;
+        stop.send_replace(true);
+    });
     let mut ticks = tokio::time::interval(logging::REPORT);
     let code = loop {
         tokio::select! {
-            _ = terminate.recv() => {
-                daemon.stop.send_replace(true);
-            }
             _ = report.recv() => daemon.report(""),
             _ = reload.recv() => daemon.reload(from, &mut setup).await,
             _ = ticks.tick() => logging.report(),
--- a/crates/rookspoke/src/main.rs
+++ b/crates/rookspoke/src/main.rs
@@ -1,6 +1,7 @@
 //! The dispatcher's daemon, and the commands beside it.
 
 mod cli;
+mod connection;
 mod control;
 mod daemon;
 mod front;
@@ -11,6 +12,8 @@
 mod serving;
 mod setup;
 mod share;
+mod shutdown;
+mod signals;
 
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -24,6 +27,7 @@
 use cli::{Cli, Command, ConfigCommand, Given};
 use logging::Logging;
 use setup::{Setup, SetupError, When};
+use signals::Signals;
 
 fn main() -> ExitCode {
     let Cli { command, from } = Cli::parse();
@@ -64,6 +68,20 @@
 }
 
 fn serve(from: &Given) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(cli::FAILED, &format!("runtime: {error}\n")),
+    };
+    // First of all: a signal that nobody listens for yet ends the process.
+    let signals = {
+        let _context = runtime.enter();
+        Signals::listen()
+    };
+    let signals = match signals {
+        Ok(signals) => signals,
+        Err(error) => return fail(cli::FAILED, &format!("{error}\n")),
+    };
     let setup = match Setup::read(from, When::Start) {
         Ok(setup) => setup,
         Err(error) => return bad_config(&error),
@@ -72,12 +90,7 @@
         Ok(logging) => Arc::new(logging),
         Err(error) => return fail(cli::FAILED, &format!("log: {error}\n")),
     };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => return fail(cli::FAILED, &format!("runtime: {error}\n")),
-    };
-    let done = runtime.block_on(daemon::run(from, setup, logging.clone()));
+    let done = runtime.block_on(daemon::run(from, setup, logging.clone(), signals));
     // Tasks that are left hold the logs; what is in the queue is written when the last of them lets go.
     drop(runtime);
     match done {
--- a/crates/rookspoke/tests/shutdown.rs
+++ b/crates/rookspoke/tests/shutdown.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::collections::BTreeSet;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -21,6 +21,8 @@
 const STILL_CONNECT: Duration = Duration::from_millis(400);
 /// What the clients that are in a hurry wait for, whatever the longest deadline is.
 const SHORT_WAIT: Duration = Duration::from_millis(600);
+/// Connections of a flood, at most.
+const FLOOD: usize = 6_000;
 /// A play whose own signals were later than this proves nothing.
 const LATE: Duration = Duration::from_millis(60);
 /// Plays that may prove nothing before the machine is too busy for any.
@@ -110,16 +112,11 @@
         });
         let clients: Vec<_> = clients.collect();
         let flooding = Arc::new(AtomicBool::new(self.flood));
+        thread::sleep(Duration::from_millis(300));
         let flood = {
             let flooding = flooding.clone();
-            thread::spawn(move || {
-                while flooding.load(Ordering::Relaxed) {
-                    drop(TcpStream::connect(http))
-                }
-            })
+            thread::spawn(move || flood(http, &flooding))
         };
-        thread::sleep(Duration::from_millis(300));
-
         let start = Instant::now();
         for signal in self.signals {
             if *signal == "TERM" && term.lock().expect("SIGTERM").is_none() {
@@ -144,23 +141,36 @@
         let seen: BTreeSet<String> = workers.iter().flat_map(Worker::ids).collect();
         let log = daemon.log().join("\n");
         let lost = sent.iter().filter(|sent| {
-            let taken = seen.contains(&sent.id) || log.contains(&sent.id) || sent.ended >= kill;
+            let read = log.contains(&format!("id=\"{}\"", sent.id));
+            let taken = seen.contains(&sent.id) || read || sent.ended >= kill;
             let exempt = sent.at <= term + ALLOWANCE && sent.ended >= kill;
             sent.status.is_none() && taken && !exempt
         });
         let tell = |sent: &Sent| {
             let after = |at: Instant| at.saturating_duration_since(term).as_millis();
-            format!(
-                "{} sent {} ms after SIGTERM, ended after {} ms",
-                sent.id,
-                after(sent.at),
-                after(sent.ended)
-            )
+            let lines: Vec<&str> = log.lines().filter(|line| line.contains(&sent.id)).collect();
+            let log = if lines.is_empty() { "not in the log".into() } else { lines.join("; ") };
+            let (at, ended) = (after(sent.at), after(sent.ended));
+            format!("{} sent {at} ms after SIGTERM, ended after {ended} ms: {log}", sent.id)
         };
         Some(lost.map(tell).collect())
     }
 }
 
+/// Opens connections and resets them, one after the other, for as long as it is wanted.
+fn flood(to: SocketAddr, wanted: &AtomicBool) {
+    for _ in 0..FLOOD {
+        if !wanted.load(Ordering::Relaxed) {
+            return;
+        }
+        if let Ok(stream) = TcpStream::connect(to) {
+            // No port is left waiting behind it.
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+        thread::sleep(Duration::from_micros(200));
+    }
+}
+
 /// A log worker that takes this long for each job, or hangs.
 fn worker(uid: &str, takes: Option<Duration>) -> Worker {
     Worker::start(uid, move |request, to| {
@@ -327,3 +337,59 @@
     cases.push(("a flood".into(), Play { flood: true, ..play }));
     plays(cases);
 }
+
+/// What is open to a request at the kill can lose one that comes in that moment. So a connection that rests, one that was
+/// never used and one whose request stops half-way have ended by then, the last with an answer.
+#[test]
+fn nothing_is_open_to_a_new_request_at_the_kill() {
+    let worker = Worker::serving("w-1");
+    let discovery = Discovery::of(&[&worker]);
+    let mut config = config(discovery.address);
+    let deadline = Duration::from_millis(700);
+    for class in config["settings"]["classes"].as_array_mut().expect("classes") {
+        class["deadline_ms"] = (deadline.as_millis() as f64).into();
+        class["goal_time_ms"] = class["deadline_ms"].clone();
+    }
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    let http = daemon.address("http");
+    let request = |id: u32| post("log-lookup", &format!("{id:016x}"), 700, "0123456789");
+    let used = |id: u32| {
+        let mut connection = connect(http);
+        connection.get_mut().write_all(&request(id)).expect("sent");
+        assert_eq!(read_message(&mut connection).expect("an answer").status, 200);
+        connection
+    };
+    let half = |mut connection: BufReader<TcpStream>, id: u32, length: usize| {
+        connection.get_mut().write_all(&request(id)[..length]).expect("sent");
+        connection
+    };
+    let whole = request(1).len();
+    let cases = [
+        ("unused", connect(http), ""),
+        ("resting", used(1), ""),
+        ("half a first head", half(connect(http), 2, 40), "HTTP/1.1 400 "),
+        ("half a head", half(used(3), 4, 40), "HTTP/1.1 400 "),
+        ("half a first body", half(connect(http), 5, whole - 5), "HTTP/1.1 408 "),
+        ("half a body", half(used(6), 7, whole - 5), "HTTP/1.1 408 "),
+    ];
+    let term = Instant::now();
+    daemon.signal("TERM");
+    let ends = cases.map(|(case, mut connection, answer)| {
+        thread::spawn(move || {
+            let mut heard = Vec::new();
+            let _ = connection.read_to_end(&mut heard);
+            let heard = String::from_utf8_lossy(&heard).into_owned();
+            (case, heard.starts_with(answer), heard, Instant::now())
+        })
+    });
+    thread::sleep((term + deadline + ALLOWANCE).saturating_duration_since(Instant::now()));
+    let kill = Instant::now();
+    daemon.kill();
+    for end in ends {
+        let (case, as_expected, heard, ended) = end.join().expect("a client");
+        assert!(ended < kill, "{case}: open at the kill, {:?} after SIGTERM", ended - term);
+        assert!(as_expected, "{case}: {heard:?}");
+    }
+    assert_eq!(worker.count(), 3, "half a request was sent on");
+}
