Take interrupted, short and passing failures of system calls for what they are

Change: guard's socket and the channel's stream retry and read until the system has no more; listen is tried for 3 s; the closing listener tries on within 100 ms; state syncs before it confirms.

--- a/crates/channel/src/connection.rs
+++ b/crates/channel/src/connection.rs
@@ -15,11 +15,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 use super::resolver::ConnectionTask;
+use super::stream::Stream;
 use super::MAX_BUFFER;
 use rookspoke_dispatch::Counters;
 
@@ -46,7 +46,7 @@
 
 /// A socket that watches what is written to it.
 struct Watched {
-    stream: TcpStream,
+    stream: Stream,
     written: Arc<Written>,
     place: Place,
 }
@@ -143,8 +143,7 @@
         room: OwnedSemaphorePermit,
         counters: Arc<Counters>,
     ) -> io::Result<Self> {
-        let stream = timeout(within, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
+        let stream = timeout(within, Stream::connect(address)).await??;
         let (body, whole, counts) = Default::default();
         let written = Arc::new(Written { body, whole, counts, counters });
         let watched = Watched { stream, written: written.clone(), place: Place::Head(0) };
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -7,6 +7,7 @@
 mod report;
 mod request;
 pub mod resolver;
+mod stream;
 mod subchannel;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,7 +32,7 @@
 use rookspoke_config::{Config, ListSource, Update};
 use rookspoke_decisions::{
     Ban, ClassId, Discovery, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError,
-    Span,
+    Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
@@ -249,6 +250,11 @@
         tokio::time::sleep_until(cut_off.into()).await;
     }
 
+    /// The present moment on the decisions' clock: Unix time at the start, and from then on monotonic.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// Waits until there is a first list of log workers.
     pub async fn ready(&self) {
         // The sender lives as long as the channel's own tasks.
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -12,11 +12,11 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::lines::{LineError, Lines};
+use super::stream::Stream;
 use rookspoke_config::{ListSource, Update};
 use rookspoke_decisions::ListScope;
 
@@ -266,8 +266,7 @@
 }
 
 async fn call(address: SocketAddr, path: &str) -> Result<(ConnectionTask, Lines<Incoming>), CallError> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
+    let stream = Stream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = ConnectionTask(tokio::spawn(async move {
         let _ = connection.await;
--- a/crates/guard/src/listener.rs
+++ b/crates/guard/src/listener.rs
@@ -1,6 +1,5 @@
 //! Where connections come in: each gets its place before it is served.
 
-use std::io;
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
@@ -12,6 +11,8 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// Pause after an accept that failed: most likely descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(10);
+/// The same while the listener closes, when there is no time for more.
+const SHORT_PAUSE: Duration = Duration::from_millis(1);
 /// Connections accepted in a row, before everything else gets its turn.
 const ACCEPTS: u32 = 16;
 /// A connection that waits unaccepted is here within this time.
@@ -81,9 +82,7 @@
                 Ok(Ok((stream, _))) => return Some(Socket::new(stream)),
                 Ok(Err(error)) => {
                     tracing::warn!("accept: {error}");
-                    if error.kind() != io::ErrorKind::ConnectionAborted {
-                        tokio::time::sleep(PAUSE).await;
-                    }
+                    tokio::time::sleep(SHORT_PAUSE).await;
                 }
                 Err(_) => return None,
             }
--- a/crates/guard/src/socket.rs
+++ b/crates/guard/src/socket.rs
@@ -34,9 +34,40 @@
     /// hears of them only between two tasks.
     pub fn unread(&self) -> impl Fn() -> bool + Send + 'static {
         let stream = Arc::downgrade(&self.0);
-        move || {
-            let peek = |stream: Arc<TcpStream>| SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
-            stream.upgrade().is_some_and(|stream| peek(stream).is_ok_and(|bytes| bytes > 0))
+        move || stream.upgrade().is_some_and(|stream| peek(&stream).is_ok_and(|bytes| bytes > 0))
+    }
+}
+
+/// What a failed call says of a connection.
+enum Fault {
+    /// Nothing: the call was interrupted, and is made again.
+    Interrupted,
+    /// Nothing: the system is short of something for a moment.
+    Passing,
+    /// It is broken.
+    Broken,
+}
+
+impl Fault {
+    fn of(error: &io::Error) -> Self {
+        match error.raw_os_error() {
+            _ if error.kind() == io::ErrorKind::Interrupted => Fault::Interrupted,
+            Some(ENOMEM | ENOBUFS) => Fault::Passing,
+            _ => Fault::Broken,
+        }
+    }
+}
+
+/// Linux's numbers of errors that have no kind of their own in the standard library.
+const ENOMEM: i32 = 12;
+const ENOBUFS: i32 = 105;
+
+/// A look at the next byte of a socket, which stays there.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    loop {
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if matches!(Fault::of(&error), Fault::Interrupted) => {}
+            done => return done,
         }
     }
 }
@@ -65,10 +96,11 @@
             if ready.is_read_closed() {
                 return;
             }
-            match SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]) {
+            match peek(&self.0) {
                 Ok(0) => return,
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if matches!(Fault::of(&error), Fault::Passing) => {}
                 Err(_) => return,
             }
             tokio::time::sleep(LOOK).await;
@@ -97,6 +129,7 @@
                 Ok(0) => return,
                 Ok(read) => left = left.saturating_sub(read),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if matches!(Fault::of(&error), Fault::Interrupted) => {}
                 Err(_) => return,
             }
         }
@@ -113,19 +146,32 @@
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => ready!(retry_or_fail(error, cx))?,
             }
         }
     }
 }
 
+/// Ready where the call is to be made again at once; pending, and woken, where it is to be made again in a moment.
+fn retry_or_fail(error: io::Error, cx: &mut Context) -> Poll<io::Result<()>> {
+    match Fault::of(&error) {
+        Fault::Interrupted => Poll::Ready(Ok(())),
+        Fault::Passing => {
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        }
+        Fault::Broken => Poll::Ready(Err(error)),
+    }
+}
+
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.poll_write_ready(cx))?;
             match self.0.try_write(buf) {
+                Ok(written) => return Poll::Ready(Ok(written)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
+                Err(error) => ready!(retry_or_fail(error, cx))?,
             }
         }
     }
--- a/crates/rookspoke/src/connection.rs
+++ b/crates/rookspoke/src/connection.rs
@@ -22,8 +22,9 @@
 
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const READY: &str = "/health/ready";
-/// What is on the socket when its connection is to close is read within this time.
-const LAST_LOOK: Duration = Duration::from_millis(100);
+/// What is on the socket when its connection is to close is read within this time. Meanwhile nobody looks for the client's
+/// end, after which an attempt must not begin by more than 0.1 s.
+const LAST_LOOK: Duration = Duration::from_millis(50);
 /// Between two looks at whether something is left to be read.
 const LOOK: Duration = Duration::from_millis(2);
 /// A client that has its last answer closes its side within this time, or the connection is closed on it.
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::bind;
 use crate::cli::{self, Given};
 use crate::control::{Control, ControlError, Status};
 use crate::front::Front;
@@ -86,13 +87,11 @@
         let listen = |e| StartError::Io("listen", e);
         let listener = match config.accept_fd {
             Some(fd) => TcpListener::from_std(inherit::listener(fd)?).map_err(listen)?,
-            None => TcpListener::bind(config.listen).await.map_err(listen)?,
+            None => bind::listen(config.listen).await.map_err(listen)?,
         };
         let at = listener.local_addr().map_err(listen)?;
         let console = match config.console {
-            Some(address) => {
-                Some(TcpListener::bind(address).await.map_err(|e| StartError::Io("console", e))?)
-            }
+            Some(address) => Some(bind::listen(address).await.map_err(|e| StartError::Io("console", e))?),
             None => None,
         };
         let (channel, core) = Channel::start(config);
@@ -130,7 +129,7 @@
         let bans = store.map(|store| Arc::new(Bans::new(store, fronts)));
         if let Some(bans) = &bans {
             // Before the first job and the first probe.
-            bans.look().await;
+            bans.first_look().await;
             self.operators.spawn(bans.clone().follow());
         }
         let counters = self.counters.iter().map(|(_, counters)| counters.clone()).collect();
@@ -141,7 +140,7 @@
 
     async fn start_faktory(&mut self, config: &Config, faktory: &FaktoryConfig) -> Result<(), StartError> {
         let listen = |e| StartError::Io("faktory.listen", e);
-        let listener = TcpListener::bind(faktory.listen).await.map_err(listen)?;
+        let listener = bind::listen(faktory.listen).await.map_err(listen)?;
         let at = listener.local_addr().map_err(listen)?;
         let active = match &faktory.vrrp {
             Some(vrrp) => {
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -24,7 +24,7 @@
     unread: Duration::from_secs(10),
 };
 /// Connections that wait in the backlog when the listener closes are accepted within this time.
-const BACKLOG: Duration = Duration::from_millis(50);
+const BACKLOG: Duration = Duration::from_millis(100);
 
 /// Serves clients on a listener.
 pub struct Front {
--- a/crates/rookspoke/src/main.rs
+++ b/crates/rookspoke/src/main.rs
@@ -1,5 +1,6 @@
 //! The dispatcher's daemon, and the commands beside it.
 
+mod bind;
 mod cli;
 mod connection;
 mod control;
--- a/crates/rookspoke/src/operators.rs
+++ b/crates/rookspoke/src/operators.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use rookspoke_channel::Channel;
 use rookspoke_console::{Desk, No};
@@ -19,6 +19,11 @@
 /// Pause before a file that another process is changing is asked for again.
 const BUSY: Duration = Duration::from_millis(5);
 
+/// Between two looks at a folder that fails.
+const AGAIN: Duration = Duration::from_millis(50);
+/// A process that starts waits this long for a folder that fails; it has to be ready within 10 s.
+const FOLDER_PATIENCE: Duration = Duration::from_secs(3);
+
 /// Every front whose decisions hear of operators.
 #[derive(Clone)]
 pub struct Fronts {
@@ -52,50 +57,77 @@
     fronts: Fronts,
     /// What holds in this process. Files are read and written with this in hand, so that what was read first is
     /// told first.
-    held: Mutex<(Held, Option<Stamp>)>,
+    view: Mutex<View>,
+}
+
+/// What holds in this process.
+#[derive(Default)]
+struct View {
+    held: Held,
+    /// Of the files that were read last.
+    stamp: Option<Stamp>,
+    /// Why they could not be read, if they could not.
+    error: Option<String>,
 }
 
 impl Bans {
     pub fn new(store: Store, fronts: Fronts) -> Self {
-        Bans { store, fronts, held: Mutex::default() }
+        Bans { store, fronts, view: Mutex::default() }
+    }
+
+    /// Takes what the files say before anything is sent. A folder that fails is asked again for a while: what was taken
+    /// out by hand still is.
+    pub async fn first_look(&self) {
+        let by = Instant::now() + FOLDER_PATIENCE;
+        while !self.look().await && Instant::now() < by {
+            sleep(AGAIN).await;
+        }
     }
 
-    /// Takes what the files say, if they say something new.
-    pub async fn look(&self) {
-        let mut held = self.held.lock().await;
+    /// Takes what the files say, if they say something new; false if they cannot be read, and are to be looked at again.
+    async fn look(&self) -> bool {
+        let mut view = self.view.lock().await;
         let stamp = self.store.stamp();
-        if held.1 == Some(stamp) {
-            return;
+        if view.stamp == Some(stamp) {
+            return true;
         }
-        held.1 = Some(stamp);
         match self.store.read() {
             Ok((new, damage)) => {
                 if let Some(damage) = damage {
                     tracing::error!("log workers out by hand: the other file tells them: {damage}");
                 }
-                if held.0 != new {
+                if view.held != new {
                     self.fronts.tell(&new).await;
-                    held.0 = new;
+                    view.held = new;
                 }
+                (view.stamp, view.error) = (Some(stamp), None);
+                true
             }
             // What holds in this process goes on, and is written with the next change.
-            Err(error) => tracing::error!("log workers out by hand: {error}"),
+            Err(error) => {
+                let error = error.to_string();
+                if view.error.as_ref() != Some(&error) {
+                    tracing::error!("log workers out by hand: {error}");
+                }
+                view.error = Some(error);
+                false
+            }
         }
     }
 
     async fn change(&self, worker: &str, out: bool) -> Result<(), No> {
-        let mut held = self.held.lock().await;
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let now = i64::try_from(now.as_micros()).unwrap_or(i64::MAX);
+        let mut view = self.view.lock().await;
+        // Not the wall clock: it may be stepped, and this is compared with what the decisions' clock says.
+        let now = self.fronts.channel.now().0;
         let new = loop {
-            match self.store.change(worker, out, now, &held.0) {
+            match self.store.change(worker, out, now, &view.held) {
                 Ok(new) => break new,
                 Err(BanError::Busy(_)) => sleep(BUSY).await,
                 Err(error) => return Err(No::Failed(error.to_string())),
             }
         };
         self.fronts.tell(&new).await;
-        held.0 = new;
+        view.held = new;
         Ok(())
     }
 
--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -36,6 +36,16 @@
 /// A folder of its own for each daemon, removed at the end.
 pub struct Folder(PathBuf);
 
+/// Where injected faults are logged, in the daemon's folder.
+const FAULTS_LOG: &str = "faults.log";
+
+/// The library that makes system calls fail; cargo builds it before the tests that depend on it.
+pub fn faults_library() -> PathBuf {
+    let library = Path::new(env!("CARGO_BIN_EXE_rookspoke")).with_file_name("deps/librookspoke_faults.so");
+    assert!(library.exists(), "{} is not there", library.display());
+    library
+}
+
 /// A site file's name in its folder.
 const SITE: &str = "site.conf";
 
@@ -128,6 +138,21 @@
         Self::spawn((command, folder))
     }
 
+    /// With system calls that fail by a schedule of `rookspoke-faults`.
+    pub fn start_with_faults(config: &Value, schedule: &str) -> Self {
+        let (mut command, folder) = Self::command(config, None);
+        let log = folder.0.join(FAULTS_LOG);
+        command.envs([("ROOKSPOKE_FAULTS", schedule.into()), ("ROOKSPOKE_FAULTS_LOG", log.into_os_string())]);
+        command.env("LD_PRELOAD", faults_library());
+        Self::spawn((command, folder))
+    }
+
+    /// How often this fault was injected; a play in which it never was proves nothing.
+    pub fn faults(&self, fault: &str) -> usize {
+        let log = std::fs::read_to_string(self.folder.0.join(FAULTS_LOG)).unwrap_or_default();
+        log.lines().filter(|line| *line == fault).count()
+    }
+
     /// Without the platform, by a file of its own.
     pub fn of_site(file: &str) -> Self {
         Self::of_site_in(Folder::new(), file)
--- a/crates/state/src/bans.rs
+++ b/crates/state/src/bans.rs
@@ -119,6 +119,8 @@
                 file::put_in_place(&path).map_err(|error| BanError::Io(path, error))?;
             }
         }
+        // Also where nothing changes: what an earlier call put in place may not have come so far.
+        file::sync_folder(&self.folder).map_err(|error| BanError::Io(self.folder.clone(), error))?;
         Ok(held)
     }
 
--- a/crates/state/src/file.rs
+++ b/crates/state/src/file.rs
@@ -82,10 +82,16 @@
     name.into()
 }
 
-/// Writes the draft of a file.
+/// Writes the draft of a file, down to the disk.
 pub fn write(path: &Path, kind: &str, text: &str) -> io::Result<()> {
     let mut file = File::create(draft(path))?;
-    write!(file, "{kind} {VERSION} {:016x}\n{text}", xxh3_64(text.as_bytes()))
+    write!(file, "{kind} {VERSION} {:016x}\n{text}", xxh3_64(text.as_bytes()))?;
+    file.sync_all()
+}
+
+/// Has the disk hold which files a folder has.
+pub fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
 }
 
 /// Puts a draft in place: whoever reads finds the former file or this one, whole.
