--- a/crates/rookspoke/tests/shutdown.rs
+++ b/crates/rookspoke/tests/shutdown.rs
@@ -21,6 +21,8 @@
 const STILL_CONNECT: Duration = Duration::from_millis(400);
 /// What the clients that are in a hurry wait for, whatever the longest deadline is.
 const SHORT_WAIT: Duration = Duration::from_millis(600);
+/// The platform holds a process up for so long at a time.
+const HELD_UP: Duration = Duration::from_millis(150);
 /// Connections of a flood, at most.
 const FLOOD: usize = 6_000;
 /// A play whose own signals were later than this proves nothing.
@@ -70,12 +72,16 @@
     signals: &'static [&'static str],
     /// Bare connections are opened and dropped all the time.
     flood: bool,
+    /// So many idle connections are held open, more than there are places.
+    crowd: usize,
+    /// The process is held up over and over, for as long as the platform says.
+    held_up: bool,
 }
 
 impl Play {
     fn new(deadline_ms: u64, workers: Workers, clients: Vec<Client>) -> Self {
         let deadline = Duration::from_millis(deadline_ms);
-        Play { deadline, workers, clients, signals: &["TERM"], flood: false }
+        Play { deadline, workers, clients, signals: &["TERM"], flood: false, crowd: 0, held_up: false }
     }
 
     fn kill_after(&self) -> Duration {
@@ -111,6 +117,7 @@
             thread::spawn(move || Run { http, deadline, number, term, sent: Vec::new() }.run(client))
         });
         let clients: Vec<_> = clients.collect();
+        let crowd: Vec<_> = (0..self.crowd).filter_map(|_| TcpStream::connect(http).ok()).collect();
         let flooding = Arc::new(AtomicBool::new(self.flood));
         thread::sleep(Duration::from_millis(300));
         let flood = {
@@ -126,10 +133,18 @@
         }
         let told = start.elapsed();
         let term = term.lock().expect("SIGTERM").expect("a SIGTERM among the signals");
-        thread::sleep((term + self.kill_after()).saturating_duration_since(Instant::now()));
+        let kill_at = term + self.kill_after();
+        while self.held_up && Instant::now() + 2 * HELD_UP < kill_at {
+            daemon.signal("STOP");
+            thread::sleep(HELD_UP);
+            daemon.signal("CONT");
+            thread::sleep(HELD_UP / 2);
+        }
+        thread::sleep(kill_at.saturating_duration_since(Instant::now()));
         let kill = Instant::now();
         daemon.kill();
-        let late = told > LATE || kill > term + self.kill_after() + LATE;
+        drop(crowd);
+        let late = told > LATE || kill > kill_at + LATE;
         flooding.store(false, Ordering::Relaxed);
         flood.join().expect("the flood");
         let sent: Vec<Sent> =
@@ -338,6 +353,22 @@
     plays(cases);
 }
 
+/// Idle clients fill every place, and the process stands still for 0.15 s again and again.
+#[test]
+fn a_shutdown_loses_nothing_under_a_crowd_or_while_it_is_held_up() {
+    let play = |ms| {
+        let mut play = Play::new(ms, Workers::Take(0.3), Vec::new());
+        play.clients = every_client(play.kill_after());
+        play
+    };
+    let cases = [200, 700, 3_000].into_iter().flat_map(|ms| {
+        let crowded = Play { crowd: 700, ..play(ms) };
+        let held_up = Play { held_up: true, ..play(ms) };
+        [(format!("{ms} ms, a crowd"), crowded), (format!("{ms} ms, held up"), held_up)]
+    });
+    plays(cases.collect());
+}
+
 /// What is open to a request at the kill can lose one that comes in that moment. So a connection that rests, one that was
 /// never used and one whose request stops half-way have ended by then, the last with an answer.
 #[test]
