Faktory: end a shutdown with the reply to every command that was read

Cause, found by the search for the incident's mistake: once no job was open the server returned, and with it every connection was aborted, whatever command of its client was under way. Change: a last phase, in which each connection ends with the reply that it owes, within 0.5 s.

--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -42,6 +42,20 @@
 /// Ids of finished jobs that are remembered, so that one handed in again is known.
 const REMEMBERED: usize = 16_384;
 
+/// Once no job is open, replies that are being written have this long.
+const LAST_REPLIES: Duration = Duration::from_millis(500);
+
+/// How far a graceful shutdown is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// It has not begun.
+    Open,
+    /// Nothing new is taken; what was taken is still handed out.
+    Closing,
+    /// No job is open: each connection ends with the reply that it owes.
+    Done,
+}
+
 /// Jobs that were taken, by id.
 #[derive(Default)]
 struct Jids {
@@ -61,8 +75,7 @@
     class_time: Vec<Duration>,
     /// Whether new work is taken and handed out: whether this daemon is the master of its pair.
     active: watch::Receiver<bool>,
-    /// The process is about to end: nothing new is taken, what was taken is still handed out.
-    closing: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
     jids: Mutex<Jids>,
     open: watch::Sender<usize>,
 }
@@ -72,7 +85,7 @@
     shared: Arc<Shared>,
     limit: ConnectionLimit,
     reconnect: Duration,
-    close: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
 }
 
 /// What operators may ask of the work server.
@@ -111,12 +124,12 @@
         let transport =
             Consumers { hall: hall.clone(), handle: handle.clone(), clock, claim: config.claim() };
         let core = core.run(settings.clone(), seed, clock, transport);
-        let (close, closing) = watch::channel(false);
+        let (tell_phase, phase) = watch::channel(Phase::Open);
         let jids = Mutex::default();
         let open = watch::Sender::new(0);
-        let shared = Shared { hall, handle, clock, settings, class_time, active, closing, jids, open };
+        let shared = Shared { hall, handle, clock, settings, class_time, active, phase, jids, open };
         let limit = ConnectionLimit::new(config.max_connections, SILENT);
-        (Server { shared: Arc::new(shared), limit, reconnect: config.reconnect(), close }, core)
+        (Server { shared: Arc::new(shared), limit, reconnect: config.reconnect(), phase: tell_phase }, core)
     }
 
     /// What operators may ask of it.
@@ -137,7 +150,7 @@
         let mut open = self.shared.open.subscribe();
         let finish = async {
             stop.await;
-            self.close.send_replace(true);
+            self.phase.send_replace(Phase::Closing);
             // The sender lives as long as `self`.
             let _ = open.wait_for(|open| *open == 0).await;
         };
@@ -153,9 +166,13 @@
                         self.shared.list(changes).await;
                     }
                 }
-                () = &mut finish => return,
+                () = &mut finish => break,
             }
         }
+        drop(listener);
+        self.phase.send_replace(Phase::Done);
+        let last = async { while connections.join_next().await.is_some() {} };
+        let _ = timeout(LAST_REPLIES, last).await;
     }
 
     fn open(&self, socket: Socket, permit: Permit, connections: &mut JoinSet<()>) {
@@ -242,6 +259,11 @@
     }
 }
 
+/// Ends once no job is open in a shutdown, or the server is gone.
+async fn is_done(phase: &mut watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|phase| *phase == Phase::Done).await;
+}
+
 struct Connection {
     shared: Arc<Shared>,
     frames: Framed<Socket, Codec>,
@@ -279,7 +301,12 @@
                     if self.wid.is_none() {
                         self.permit.idles();
                     }
-                    self.frames.next().await
+                    let mut phase = self.shared.phase.clone();
+                    tokio::select! {
+                        biased;
+                        command = self.frames.next() => command,
+                        () = is_done(&mut phase) => return Ok(()),
+                    }
                 }
             };
             self.permit.owes();
@@ -340,7 +367,7 @@
             shared.handle.counters().turned_down.add();
             Some(Reply::Error(why))
         };
-        if *shared.closing.borrow() {
+        if *shared.phase.borrow() > Phase::Open {
             return refuse("this server is about to end: push elsewhere".into());
         }
         if !*shared.active.borrow() {
@@ -408,9 +435,10 @@
         };
         let patience = tokio::time::sleep(FETCH_WAIT);
         let mut patience = std::pin::pin!(patience);
+        let mut phase = shared.phase.clone();
         loop {
             // One that is about to end is no master any more, but must still hand out what it took.
-            if !*shared.active.borrow() && !*shared.closing.borrow() {
+            if !*shared.active.borrow() && *shared.phase.borrow() == Phase::Open {
                 return Some(Reply::Error("this server is a backup: fetch from the master".into()));
             }
             let news = shared.hall.news.notified();
@@ -427,6 +455,7 @@
             tokio::select! {
                 () = news => {}
                 () = &mut patience => return Some(Reply::Nil),
+                () = is_done(&mut phase) => return Some(Reply::Nil),
                 // Nothing may be handed to a connection that is gone.
                 () = self.gone() => return None,
             }
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -242,6 +242,27 @@
     assert!(daemon.wait_log("faktory counters at exit").contains("taken=1 "));
 }
 
+/// Who waits for a job when the last one is reported hears that there is none, and no reset.
+#[test]
+fn told_to_end_it_answers_every_command_that_it_has_read() {
+    let mut daemon = daemon(ON);
+    let mut consumer = waiting(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
+    assert_eq!(consumer.fetched()["jid"], "job-00000001");
+    let mut others: Vec<Peer> = (2..12).map(|n| waiting(&daemon, &format!("c-{n}"))).collect();
+    daemon.signal("TERM");
+    wait_for("a refusal", || {
+        producer.push(&job("job-00000002", "no-such")).contains("about to end").then_some(())
+    });
+    assert_eq!(consumer.ack("job-00000001"), "+OK");
+    for other in &mut others {
+        assert_eq!(other.reply(), "nil");
+        assert_eq!(other.reply(), "", "the connection ends");
+    }
+    assert!(daemon.wait_exit().success());
+}
+
 /// Connections that never say HELLO once held every place for as long as they liked to come back.
 #[test]
 fn silent_crowds_make_way_for_producers_and_consumers() {
