guard: name connections' states, time-outs and requests to close as the field does

Cause: seats, stages, patience, owes and tells to leave were words of the earlier house style. Change: entries, states, time-outs, request_received, response_started, close_requested, admit. No behaviour changed. Measured: tests of guard, scarce, platform, ends, shutdown, operators and faktory pass.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -19,13 +19,14 @@
 use tokio::task::JoinSet;
 use tower::{Service, ServiceExt};
 
-use rookspoke_guard::{ConnectionLimit, Listener, Patience, Permit, Socket};
+use rookspoke_guard::{ConnectionLimit, Listener, Permit, Socket, Timeouts};
 
 /// Callers at a time: a few operators and programs, and as many who say nothing. The oldest of these leaves first.
 pub const PLACES: usize = 16;
 /// Callers that say nothing, or half a call, and then do not read, are let go after this.
 const SILENT: Duration = Duration::from_secs(3);
-const PATIENCE: Patience = Patience { first: SILENT, part: SILENT, idle: SILENT, unread: SILENT };
+const CALLER_TIMEOUTS: Timeouts =
+    Timeouts { first_request: SILENT, request: SILENT, idle: SILENT, response: SILENT };
 /// The least that the HTTP library takes, and far more than a call's head needs.
 const MAX_HEAD: usize = 8 * 1024;
 /// A call has no body of use; one that says it is longer than this is not read.
@@ -174,7 +175,7 @@
 
 /// Answers on a listener for as long as it is polled.
 pub async fn serve<D: Desk>(listener: TcpListener, desk: D) {
-    let limit = ConnectionLimit::new(PLACES, PATIENCE);
+    let limit = ConnectionLimit::new(PLACES, CALLER_TIMEOUTS);
     let mut listener = Listener::new(listener, limit);
     let mut callers = JoinSet::new();
     loop {
@@ -193,7 +194,7 @@
             match whole(request).await {
                 Ok(request) => {
                     // Who has said all is owed an answer: no crowd takes the place away.
-                    permit.owes();
+                    permit.request_received();
                     calls.oneshot(request).await
                 }
                 Err(response) => Ok(response),
@@ -207,6 +208,6 @@
     tokio::select! {
         biased;
         _ = connection => {}
-        () = permit.told_to_leave() => {}
+        () = permit.close_requested() => {}
     }
 }
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -27,11 +27,11 @@
 const FETCH_WAIT: Duration = Duration::from_secs(2);
 /// A client must say HELLO within `first`. Producers may keep their connections for as long as there is room,
 /// and consumers are looked after by the hall.
-const SILENT: rookspoke_guard::Patience = rookspoke_guard::Patience {
-    first: Duration::from_secs(3),
-    part: Duration::MAX,
+const SILENT: rookspoke_guard::Timeouts = rookspoke_guard::Timeouts {
+    first_request: Duration::from_secs(3),
+    request: Duration::MAX,
     idle: Duration::MAX,
-    unread: Duration::MAX,
+    response: Duration::MAX,
 };
 /// A client must read its replies within this time.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -184,7 +184,7 @@
                 // The connection first: what has come saves it from having to leave.
                 biased;
                 ended = connection.serve() => ended,
-                () = permit.told_to_leave() => {
+                () = permit.close_requested() => {
                     connection.shared.handle.counters().closed.add();
                     Ok(())
                 }
@@ -279,7 +279,7 @@
         self.reply(Reply::Simple(format!("HI {{\"v\":{VERSION}}}"))).await?;
         match self.frames.next().await {
             Some(Ok(Ok(Command::Hello(hello)))) if hello.v == VERSION => {
-                self.permit.owes();
+                self.permit.request_received();
                 self.wid = hello.wid.filter(|wid| !wid.is_empty()).map(Name::from);
                 if let Some(wid) = &self.wid {
                     self.shared.hall.join(wid);
@@ -299,7 +299,7 @@
                 None => {
                     // A consumer may hold jobs, and is there to be given more.
                     if self.wid.is_none() {
-                        self.permit.idles();
+                        self.permit.response_sent();
                     }
                     let mut phase = self.shared.phase.clone();
                     tokio::select! {
@@ -309,7 +309,7 @@
                     }
                 }
             };
-            self.permit.owes();
+            self.permit.request_received();
             let reply = match command {
                 None => return Ok(()),
                 Some(Err(error)) => return Err(error),
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -6,6 +6,6 @@
 mod listener;
 mod socket;
 
-pub use limit::{ConnectionCensus, ConnectionLimit, Patience, Permit};
+pub use limit::{ConnectionCensus, ConnectionLimit, Permit, Timeouts};
 pub use listener::Listener;
 pub use socket::{CutOff, Framed, Socket, SocketEnd};
--- a/crates/guard/src/listener.rs
+++ b/crates/guard/src/listener.rs
@@ -38,7 +38,7 @@
     pub async fn next(&mut self) -> (Socket, Permit) {
         loop {
             if let Some(socket) = self.waiting.take() {
-                match self.limit.enter(socket.unread()) {
+                match self.limit.admit(socket.unread()) {
                     Some(permit) => return (socket, permit),
                     None => self.waiting = Some(socket),
                 }
@@ -72,7 +72,7 @@
             None if shared => return None,
             None => self.accept_waiting(by).await?,
         };
-        let permit = self.limit.squeeze_in(socket.unread());
+        let permit = self.limit.admit_over_limit(socket.unread());
         Some((socket, permit))
     }
 
--- a/crates/guard/src/socket.rs
+++ b/crates/guard/src/socket.rs
@@ -235,13 +235,13 @@
         self.count.answered = self.answers.load(Ordering::Acquire);
         let Count { begun, whole, answered, out } = self.count;
         if whole > answered {
-            self.permit.owes();
+            self.permit.request_received();
         } else if answered > out {
-            self.permit.answers();
+            self.permit.response_started();
         } else if begun > whole.max(out) || self.framing.holds() {
-            self.permit.begins();
+            self.permit.request_started();
         } else {
-            self.permit.idles();
+            self.permit.response_sent();
         }
     }
 }
@@ -277,7 +277,7 @@
 impl AsyncWrite for Framed {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         if self.count.whole <= self.answers.load(Ordering::Acquire) {
-            self.permit.answers();
+            self.permit.response_started();
         }
         Pin::new(&mut self.socket).poll_write(cx, buf)
     }
--- a/crates/rookspoke/src/connection.rs
+++ b/crates/rookspoke/src/connection.rs
@@ -80,7 +80,7 @@
             // The connection first: what has come saves it from having to leave.
             biased;
             done = connection.as_mut() => break done,
-            () = permit.told_to_leave() => {
+            () = permit.close_requested() => {
                 counters.closed.add();
                 return;
             }
@@ -112,7 +112,7 @@
     let discard = malformed || answers.turned_down.load(Ordering::Acquire);
     tokio::select! {
         () = end.linger(LINGER, discard) => {}
-        () = permit.told_to_leave() => {}
+        () = permit.close_requested() => {}
     }
     // Its place is free only once the socket is closed.
     drop(end);
--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep_until;
 
 use rookspoke_channel::ShutdownLimits;
-use rookspoke_guard::{ConnectionCensus, ConnectionLimit, Listener, Patience};
+use rookspoke_guard::{ConnectionCensus, ConnectionLimit, Listener, Timeouts};
 
 use crate::connection::{self, Context, Phase};
 use crate::serving::Serving;
@@ -17,11 +17,11 @@
 
 /// Clients that say nothing, or stop in the middle of a request, are told so within 3 s: this leaves half a second and
 /// more for a late turn.
-const PATIENCE: Patience = Patience {
-    first: Duration::from_secs(2),
-    part: Duration::from_millis(2500),
+const CLIENT_TIMEOUTS: Timeouts = Timeouts {
+    first_request: Duration::from_secs(2),
+    request: Duration::from_millis(2500),
     idle: Duration::from_secs(60),
-    unread: Duration::from_secs(10),
+    response: Duration::from_secs(10),
 };
 /// Connections that wait in the backlog when the listener closes are accepted within this time.
 const BACKLOG: Duration = Duration::from_millis(100);
@@ -38,7 +38,7 @@
 impl Front {
     /// A front with places for `connections` clients, which wait for `longest_deadline` at most.
     pub fn new(serving: Serving, connections: usize, longest_deadline: watch::Receiver<Duration>) -> Self {
-        Front { serving, limit: ConnectionLimit::new(connections, PATIENCE), longest_deadline }
+        Front { serving, limit: ConnectionLimit::new(connections, CLIENT_TIMEOUTS), longest_deadline }
     }
 
     /// Its places.
@@ -122,9 +122,9 @@
             true => ShutdownPlan::with_successor(longest_deadline),
             false => ShutdownPlan::new(longest_deadline),
         };
-        let ConnectionCensus { open, owed } = self.limit.census();
+        let ConnectionCensus { open, pending } = self.limit.census();
         tracing::info!(
-            connections = open, awaiting_answer = owed, ?longest_deadline, accept_until = ?plan.accept_until,
+            connections = open, awaiting_answer = pending, ?longest_deadline, accept_until = ?plan.accept_until,
             serve_until = ?plan.serve_until, cut_off = ?plan.cut_off, answered_by = ?plan.answered_by,
             earliest_kill = ?plan.earliest_kill, "shutdown: SIGTERM received"
         );
@@ -136,7 +136,7 @@
         // Until the last of what was accepted so far is answered the process stays anyway: for a while it goes on
         // serving those that are connected.
         let serve_until = begun + plan.serve_until;
-        let _ = tokio::time::timeout_at(serve_until.into(), self.limit.settled()).await;
+        let _ = tokio::time::timeout_at(serve_until.into(), self.limit.pending_answered()).await;
         phase.send_replace(Phase::Closing);
         self.log_phase("connections close with their answers");
         sleep_until((begun + plan.cut_off).into()).await;
@@ -149,7 +149,7 @@
 
     /// Logs a phase of the shutdown with what is open in it.
     fn log_phase(&self, phase: &str) {
-        let ConnectionCensus { open, owed } = self.limit.census();
-        tracing::info!(connections = open, awaiting_answer = owed, "shutdown: {phase}");
+        let ConnectionCensus { open, pending } = self.limit.census();
+        tracing::info!(connections = open, awaiting_answer = pending, "shutdown: {phase}");
     }
 }
