Count a log worker's start from its news where this machine's clock makes it untrue

Cause, found by reading for the wall clock in the search for related mistakes: starts come as Unix time and are compared with the clock as it was at this process's start. Stepped back an hour before that, every restarted log worker stays cold for an hour and gets nothing; stepped forward, a cold one counts as warm and may be pushed over. Change: start_times (pure): a start that lies ahead, or is told as news over 60 s late, counts from its news; never as older than told. What discovery first tells a process stands as it is: open.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -7,6 +7,7 @@
 mod report;
 mod request;
 pub mod resolver;
+mod start_times;
 mod stream;
 mod subchannel;
 
@@ -29,15 +30,16 @@
 
 use request::{BadRequest, Facts, Head, OpenId, OpenIds};
 use resolver::{Order, Resolver, ResolverResult};
-use rookspoke_config::{Config, ListSource, Update};
+use rookspoke_config::{Config, ListSource, Target, Update};
 use rookspoke_decisions::{
-    Ban, ClassId, Discovery, Effect, ListScope, Name, Note, Outcome, Readiness, RequestId, SettingsError,
-    Span, Time,
+    Ban, ClassId, Discovery, Effect, ListScope, Listing, Name, Note, Outcome, Readiness, RequestId,
+    SettingsError, Span, Time,
 };
 use rookspoke_dispatch::{
     request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
 };
 use rookspoke_wire::Vocabulary;
+use start_times::StartTimes;
 use subchannel::{lock, Call, Shared, Subchannel, NO_WATCH};
 
 /// The most that a body holds, on any side.
@@ -555,9 +557,12 @@
     let ready = Arc::new(ready);
     async move {
         // Without any list, too, the decisions must hear of their start: they ask for lists from then on.
-        let entries = known.iter().flat_map(|k| &k.targets).map(|t| t.listing()).collect();
-        known.iter().for_each(|known| fleet.apply(ListScope::Remembered, known));
-        handle.list(ListScope::Remembered, entries).await;
+        let start_times = Arc::new(std::sync::Mutex::new(StartTimes::default()));
+        let entries = known.as_ref().map(|known| {
+            fleet.apply(ListScope::Remembered, known);
+            listings(&start_times, ListScope::Remembered, known, clock.now())
+        });
+        handle.list(ListScope::Remembered, entries.unwrap_or_default()).await;
         if known.is_some() {
             let ready = ready.clone();
             tokio::spawn(async move {
@@ -567,6 +572,7 @@
         }
         let tell = |result| {
             let (handle, fleet, ready) = (handle.clone(), fleet.clone(), ready.clone());
+            let start_times = start_times.clone();
             async move {
                 match result {
                     ResolverResult::Word(at) => {
@@ -575,7 +581,7 @@
                     }
                     ResolverResult::Update(scope, update) => {
                         fleet.apply(scope, &update);
-                        let entries = update.targets.iter().map(|t| t.listing()).collect();
+                        let entries = listings(&start_times, scope, &update, clock.now());
                         handle.list(scope, entries).await;
                         ready.send_replace(true);
                     }
@@ -592,5 +598,17 @@
     }
 }
 
+/// A list's entries, as the decisions take them.
+fn listings(
+    start_times: &std::sync::Mutex<StartTimes>,
+    scope: ListScope,
+    update: &Update,
+    now: Time,
+) -> Arc<[Listing]> {
+    let mut entries: Vec<Listing> = update.targets.iter().map(Target::listing).collect();
+    lock(start_times).correct(scope, &mut entries, now);
+    entries.into()
+}
+
 /// How long discovery may stay silent at the start before the list last known counts as the first.
 const PATIENCE: Duration = Duration::from_secs(1);
