Tests: a stepped wall clock, in a process that runs and in one that starts

Cause: the mend of starts told by another clock was tested by itself only. Change: rookspoke-faults steps the wall clock of a process, for ever or to and fro.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -1,7 +1,8 @@
 //! Fault injection for tests: preloaded into a process (`LD_PRELOAD`), this library makes some of its system calls fail
 //! as Linux documents that they may. What fails, and how often, is said in the environment; the draws come from a seed.
 //!
-//! `ROOKSPOKE_FAULTS="SEED CALL=ERROR:PERCENT ..."`, for example `7 receive=EINTR:20 accept=ECONNABORTED:50`. Each fault
+//! `ROOKSPOKE_FAULTS="SEED CALL=ERROR:PERCENT ..."`, for example `7 receive=EINTR:20 accept=ECONNABORTED:50`;
+//! `clock=SECONDS:PERIOD_MS` steps the wall clock to and fro with this period, or for ever, if it is 0. Each fault
 //! that was injected is a line, `CALL ERROR`, in the file that `ROOKSPOKE_FAULTS_LOG` names: a run in which none was
 //! proves nothing. A schedule that makes no sense ends the process with status 3 and a line on standard error.
 //!
@@ -31,8 +32,9 @@
     log: Option<c_int>,
 }
 
+static INJECTOR: OnceLock<Injector> = OnceLock::new();
+
 fn injector() -> &'static Injector {
-    static INJECTOR: OnceLock<Injector> = OnceLock::new();
     INJECTOR.get_or_init(|| {
         let text = std::env::var(SCHEDULE).unwrap_or_default();
         let schedule = Schedule::parse(&text).unwrap_or_else(|error| {
@@ -202,3 +204,21 @@
         _ => real!("rename", Rename)(from, to),
     }
 }
+
+/// # Safety
+/// As clock_gettime(2).
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, time: *mut libc::timespec) -> c_int {
+    type Gettime = unsafe extern "C" fn(libc::clockid_t, *mut libc::timespec) -> c_int;
+    let gettime = real!("clock_gettime", Gettime);
+    let done = gettime(clock, time);
+    // Whoever reads the schedule may ask for the time: that one gets it as it is.
+    let steps = INJECTOR.get().and_then(|injector| injector.schedule.clock);
+    if let (0, libc::CLOCK_REALTIME, Some(steps)) = (done, clock, steps) {
+        let mut monotonic = libc::timespec { tv_sec: 0, tv_nsec: 0 };
+        if gettime(libc::CLOCK_MONOTONIC, &raw mut monotonic) == 0 {
+            (*time).tv_sec += steps.offset_s(monotonic.tv_sec * 1000 + monotonic.tv_nsec / 1_000_000);
+        }
+    }
+    done
+}
--- a/crates/faults/src/schedule.rs
+++ b/crates/faults/src/schedule.rs
@@ -75,10 +75,33 @@
     line: String,
 }
 
+/// How the wall clock is stepped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockSteps {
+    /// By so many seconds,
+    pub seconds: i64,
+    /// there and back with this period; from the start and for ever, if it is 0.
+    pub period_ms: i64,
+}
+
+impl ClockSteps {
+    /// How far the wall clock is off at a moment of the monotonic one.
+    pub fn offset_s(self, monotonic_ms: i64) -> i64 {
+        let is_stepped = self.period_ms == 0 || (monotonic_ms / self.period_ms) % 2 == 0;
+        if is_stepped {
+            self.seconds
+        } else {
+            0
+        }
+    }
+}
+
 /// Every rule, and the seed of the draws.
 pub struct Schedule {
     seed: u64,
     rules: Vec<Rule>,
+    /// Whether the wall clock is stepped, and how.
+    pub clock: Option<ClockSteps>,
 }
 
 impl Schedule {
@@ -86,10 +109,16 @@
     pub fn parse(text: &str) -> Result<Self, BadSchedule> {
         let bad = |part: &str| BadSchedule(part.to_owned());
         let mut parts = text.split_whitespace();
-        let Some(seed) = parts.next() else { return Ok(Schedule { seed: 0, rules: Vec::new() }) };
-        let seed = seed.parse().map_err(|_| bad(seed))?;
-        let rules = parts.map(|part| rule(part).ok_or_else(|| bad(part)));
-        Ok(Schedule { seed, rules: rules.collect::<Result<_, _>>()? })
+        let mut schedule = Schedule { seed: 0, rules: Vec::new(), clock: None };
+        let Some(seed) = parts.next() else { return Ok(schedule) };
+        schedule.seed = seed.parse().map_err(|_| bad(seed))?;
+        for part in parts {
+            match part.strip_prefix("clock=") {
+                Some(steps) => schedule.clock = Some(clock(steps).ok_or_else(|| bad(part))?),
+                None => schedule.rules.push(rule(part).ok_or_else(|| bad(part))?),
+            }
+        }
+        Ok(schedule)
     }
 
     /// What the draw of this number means for a call, and the line that tells of it.
@@ -105,6 +134,12 @@
     }
 }
 
+fn clock(text: &str) -> Option<ClockSteps> {
+    let (seconds, period_ms) = text.split_once(':')?;
+    let period_ms = period_ms.parse().ok().filter(|period| *period >= 0)?;
+    Some(ClockSteps { seconds: seconds.parse().ok()?, period_ms })
+}
+
 fn rule(text: &str) -> Option<Rule> {
     let (call_name, rest) = text.split_once('=')?;
     let (fault_name, percent) = rest.split_once(':')?;
--- a/crates/rookspoke/tests/faults.rs
+++ b/crates/rookspoke/tests/faults.rs
@@ -5,7 +5,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use common::world::*;
 
@@ -126,11 +126,56 @@
     assert_eq!((banned.count(), other.count()), (0, 10));
 }
 
+/// The wall clock goes an hour forward and back ten times a second: requests last as long as they should.
+#[test]
+fn a_wall_clock_that_is_stepped_changes_no_deadline() {
+    let (quick, mute) = (
+        Worker::serving("w-1"),
+        Worker::start("w-1", |_, _| {
+            thread::sleep(PATIENCE);
+            false
+        }),
+    );
+    for schedule in ["21 clock=3600:50", "22 clock=-3600:50", "23 clock=7:130"] {
+        let daemon = over(&[&quick], schedule);
+        let statuses = ask_in_turn(daemon.address("http"), 1, 30);
+        assert_eq!(served(&statuses), 30, "{schedule}: {statuses:?}");
+        let daemon = over(&[&mute], schedule);
+        let asked = Instant::now();
+        let answer = ask(daemon.address("http"), &post("log-lookup", "0000000000000001", 600, ""));
+        assert!(answer.status >= 500, "{schedule}: {answer:?}");
+        assert!(asked.elapsed() >= Duration::from_millis(500), "{schedule}: {:?}", asked.elapsed());
+    }
+}
+
+/// The wall clock was set back by an hour before the process started. A log worker that restarts is warm again after its
+/// ramp, and not an hour later.
+#[test]
+fn a_restarted_log_worker_is_used_again_though_the_wall_clock_is_an_hour_behind() {
+    let worker = Worker::serving("w-1");
+    let discovery = Discovery::of(&[&worker]);
+    let mut config = config(discovery.address);
+    config["settings"]["rules"]["ramp_time_ms"] = 1_500.0.into();
+    let daemon = Daemon::start_with_faults(&config, "24 clock=-3600:0");
+    daemon.wait_ready();
+    let mut entry = worker.entry("active");
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis() as u64;
+    entry["boot_ms"] = unix.into();
+    discovery.change(entry);
+    daemon.wait_counters("http", &["lists=2"]);
+    thread::sleep(Duration::from_millis(1_600));
+    let statuses = ask_in_turn(daemon.address("http"), 1, 20);
+    assert_eq!(served(&statuses), 20, "{statuses:?}");
+}
+
 #[test]
 fn a_schedule_that_makes_no_sense_is_named() {
-    for (schedule, found) in
-        [("x", "x"), ("1 receive=EWHAT:5", "receive=EWHAT:5"), ("1 accept=EIO:101", "accept=EIO:101")]
-    {
+    for (schedule, found) in [
+        ("x", "x"),
+        ("1 receive=EWHAT:5", "receive=EWHAT:5"),
+        ("1 accept=EIO:101", "accept=EIO:101"),
+        ("1 clock=x:5", "clock=x:5"),
+    ] {
         let (mut command, _folder) =
             Daemon::command(&config("127.0.0.1:9".parse().expect("an address")), None);
         command.env("LD_PRELOAD", faults_library()).env("ROOKSPOKE_FAULTS", schedule);
