--- a/crates/rookspoke/tests/ends.rs
+++ b/crates/rookspoke/tests/ends.rs
@@ -296,3 +296,40 @@
     let connections = worker.connections.load(Ordering::SeqCst);
     assert_eq!((asks("qso-confirm", 4), worker.connections.load(Ordering::SeqCst)), (200, connections + 1));
 }
+
+/// Clients that stop in the middle of a request and stay hear an error, or the end, within 3 s, on a new connection and on
+/// one that was used before.
+#[test]
+fn a_client_that_stops_in_the_middle_of_a_request_is_let_go_within_three_seconds() {
+    let worker = Worker::serving("w-1");
+    let daemon = Daemon::over(&Discovery::of(&[&worker]));
+    let http = daemon.address("http");
+    let request = |id: u32| post("log-lookup", &format!("{id:016x}"), 60_000, "0123456789");
+    let whole = request(1).len();
+    let half = |used: bool, id: u32, length: usize| {
+        let mut connection = BufReader::new(send(http, b""));
+        if used {
+            connection.get_mut().write_all(&request(id)).expect("sent");
+            assert_eq!(read_message(&mut connection).expect("an answer").status, 200);
+        }
+        connection.get_mut().write_all(&request(id + 1)[..length]).expect("sent");
+        connection
+    };
+    let stopped = Instant::now();
+    let cases = [(false, 40), (false, whole - 1), (true, 40), (true, whole - 1)];
+    let clients: Vec<_> = (0u32..).zip(cases).collect();
+    let clients = clients.into_iter().map(|(n, (used, length))| {
+        let mut connection = half(used, 10 * n + 1, length);
+        std::thread::spawn(move || {
+            let mut heard = Vec::new();
+            let _ = connection.read_to_end(&mut heard);
+            (String::from_utf8_lossy(&heard).into_owned(), stopped.elapsed())
+        })
+    });
+    for (client, case) in clients.collect::<Vec<_>>().into_iter().zip(cases) {
+        let (heard, after) = client.join().expect("a client");
+        assert!(after < Duration::from_secs(3), "{case:?}: {after:?}");
+        assert!(heard.is_empty() || heard.starts_with("HTTP/1.1 4"), "{case:?}: {heard:?}");
+    }
+    assert_eq!(worker.count(), 2, "half a request was sent on");
+}
