Logs: never leave out a shutdown's phases, nor the lines that tell what was left out

Traced: with repeats 1 the new phase lines were cut, and since two places had lines left out, the second line that tells of it was cut by the same bound: what is left out was not told. Change: both targets are unlimited; they are few. The test is as it was.

--- a/crates/rookspoke/src/front.rs
+++ b/crates/rookspoke/src/front.rs
@@ -12,6 +12,7 @@
 use rookspoke_guard::{ConnectionCensus, ConnectionLimit, Listener, Timeouts};
 
 use crate::connection::{self, Context, Phase};
+use crate::logging::SHUTDOWN;
 use crate::serving::Serving;
 use crate::shutdown::ShutdownPlan;
 
@@ -124,6 +125,7 @@
         };
         let ConnectionCensus { open, pending } = self.limit.census();
         tracing::info!(
+            target: SHUTDOWN,
             connections = open, awaiting_answer = pending, ?longest_deadline, accept_until = ?plan.accept_until,
             serve_until = ?plan.serve_until, cut_off = ?plan.cut_off, answered_by = ?plan.answered_by,
             earliest_kill = ?plan.earliest_kill, "shutdown: SIGTERM received"
@@ -150,6 +152,8 @@
     /// Logs a phase of the shutdown with what is open in it.
     fn log_phase(&self, phase: &str) {
         let ConnectionCensus { open, pending } = self.limit.census();
-        tracing::info!(connections = open, awaiting_answer = pending, "shutdown: {phase}");
+        tracing::info!(
+            target: SHUTDOWN, connections = open, awaiting_answer = pending, "shutdown: {phase}"
+        );
     }
 }
--- a/crates/rookspoke/src/logging.rs
+++ b/crates/rookspoke/src/logging.rs
@@ -94,8 +94,7 @@
     }
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
         let metadata = event.metadata();
-        // What somebody asked for is not left out.
-        metadata.target() == ASKED
+        UNLIMITED.contains(&metadata.target())
             || *metadata.level() > Level::INFO
             || lock(&self.places).may_write(&metadata.callsite(), self.start.elapsed())
     }
@@ -178,6 +177,10 @@
 
 /// The target of lines that are written on request.
 pub const ASKED: &str = "rookspoke::counters";
+/// The target of lines that tell the phases of a shutdown: a few in a process's life.
+pub const SHUTDOWN: &str = "rookspoke::shutdown";
+/// Targets whose lines are few and never left out: what somebody asked for, phases, and what was left out itself.
+const UNLIMITED: [&str; 3] = [ASKED, SHUTDOWN, module_path!()];
 /// How often what was left out is told.
 pub const REPORT: Duration = Duration::from_secs(10);
 
