--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -526,13 +526,19 @@
 
 /// An answer in chunks, one object to each.
 pub fn objects(to: &mut TcpStream, objects: &[Value], end: bool) {
-    let mut text = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    for object in objects {
-        let line = format!("{object}\n");
-        text.push_str(&format!("{:x}\r\n{line}\r\n", line.len()));
-    }
-    text.push_str(if end { "0\r\n\r\n" } else { "" });
-    let _ = to.write_all(text.as_bytes());
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let _ = to.write_all(format!("{head}{}", chunks(objects, end)).as_bytes());
+}
+
+/// More of an answer that [`objects`] has begun.
+pub fn more_objects(to: &mut TcpStream, objects: &[Value], end: bool) {
+    let _ = to.write_all(chunks(objects, end).as_bytes());
+}
+
+fn chunks(objects: &[Value], end: bool) -> String {
+    let lines = objects.iter().map(|object| format!("{object}\n"));
+    let chunks: String = lines.map(|line| format!("{:x}\r\n{line}\r\n", line.len())).collect();
+    chunks + if end { "0\r\n\r\n" } else { "" }
 }
 
 pub fn state(request: &Message, state: &str) -> Value {
--- a/crates/rookspoke/tests/scarce.rs
+++ b/crates/rookspoke/tests/scarce.rs
@@ -30,7 +30,13 @@
 fn crowded(sockets: usize, allowed: usize) {
     let worker = Worker::start("w-1", |request, to| {
         if request.text() == "slow" {
+            // A job whose start is not told waits in a queue, as far as a dispatcher can see.
+            objects(to, &[state(request, "started")], false);
             std::thread::sleep(Duration::from_millis(2_500));
+            let mut done = state(request, "done");
+            done["result"] = "slow".into();
+            more_objects(to, &[done], true);
+            return true;
         }
         serve(request, to, "fine");
         true
@@ -83,6 +89,26 @@
     assert!(plays.into_iter().all(|play| play.join().is_ok()));
 }
 
+/// More clients come at once than any turn accepts, while the process stands still: the system keeps them all, and drops
+/// none, whose client would try again after a second or more.
+#[test]
+fn a_burst_of_connections_waits_for_a_busy_process() {
+    let worker = Worker::serving("w-1");
+    let daemon = limited(config(Discovery::of(&[&worker]).address), 1_024, 1_024);
+    let http = daemon.address("http");
+    daemon.wait_ready();
+    daemon.signal("STOP");
+    // Nothing here depends on the load: what the system has dropped is not let in until the process goes on.
+    let within = Duration::from_secs(3);
+    let mut burst: Vec<TcpStream> =
+        (0..400).map_while(|_| TcpStream::connect_timeout(&http, within).ok()).collect();
+    daemon.signal("CONT");
+    assert_eq!(burst.len(), 400, "the next one's first packet was dropped");
+    let mut last = burst.pop().expect("a connection");
+    last.write_all(&post("log-lookup", "00000000000000a1", 5_000, "")).expect("sent");
+    assert_eq!(read_message(&mut BufReader::new(last)).expect("an answer").status, 200);
+}
+
 fn processor_time(daemon: &Daemon) -> f64 {
     let stat = std::fs::read_to_string(format!("/proc/{}/stat", daemon.pid())).expect("its figures");
     let fields: Vec<f64> = stat
