Date what late starts show of a log worker's queue, so that it fades

Cause: the estimate of others' slots faded with the age of the last report. One made from own late starts, at a log worker that sends no reports, had no age and never faded: jobs there were refused as likely late for good. Change: the estimate has its own time. The case is added to one_job_that_started_late_shows_no_queue, red without it.

--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -212,6 +212,8 @@
     own_at: Time,
     /// Slots in use by others, averaged over reports and own waits; none before the first.
     pub others: Option<f64>,
+    /// When these were last judged.
+    pub others_at: Option<Time>,
     /// When own attempts were sent that have not started yet.
     pub waiting: Vec<Time>,
     pub reported: Option<Time>,
@@ -249,6 +251,7 @@
             own_smooth: 0.0,
             own_at: now,
             others: None,
+            others_at: None,
             waiting: Vec::new(),
             reported: None,
             free_memory: None,
@@ -269,7 +272,8 @@
     /// Its process restarted: what was learned of the earlier one is void.
     fn restart(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.turn_spent, self.fails) = (started, i64::MIN, 0);
-        (self.reported, self.others, self.full_until, self.shunned_until) = (None, None, now, now);
+        (self.reported, self.full_until, self.shunned_until) = (None, now, now);
+        (self.others, self.others_at) = (None, None);
         (self.errors, self.served) = (Faded::default(), Faded::default());
         self.keys.clear();
     }
@@ -300,9 +304,10 @@
         self.own_smooth
     }
     /// Moves the count of others' slots towards `seen`; the first time it is taken as it is.
-    pub fn blend_others(&mut self, seen: f64, gain: f64) {
+    pub fn blend_others(&mut self, seen: f64, gain: f64, now: Time) {
         let old = self.others.unwrap_or(seen);
         self.others = Some(old + (seen - old) * gain);
+        self.others_at = Some(now);
     }
     /// Learns its slots from a report; returns the slots in use, with the queue. Behind a report
     /// of no free slots that tells of no queue, one of `hidden` parts of the slots is taken for likely.
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -361,7 +361,7 @@
 
     /// Slots in use: own ones, and the mean of what reports say of others; the newest is older than a job is long.
     fn occupied(&self, w: &Worker) -> f64 {
-        let age = w.reported.map_or(0.0, |at| (self.now - at).secs());
+        let age = w.others_at.map_or(0.0, |at| (self.now - at).secs());
         w.own + w.others.map_or(self.fill * self.slots(w), |o| o.max(0.0) * (-age / TRUST.secs()).exp())
     }
 
@@ -618,7 +618,7 @@
             // The wait of an own job is the freshest news of a queue, but one alone shows none: a machine may be slow.
             w.others.get_or_insert(self.fill * w.learned_slots.unwrap_or(PAPER_FULL));
             let held = w.learned_slots.unwrap_or(PAPER_FULL) * (1.0 + runs) - w.smooth_own(now, OWN_SMOOTH);
-            w.blend_others(held, REPORT_GAIN);
+            w.blend_others(held, REPORT_GAIN, now);
         }
     }
 
@@ -685,7 +685,7 @@
         let others = held - w.smooth_own(now, OWN_SMOOTH);
         // What is left of old news is no mean, but a wrong figure.
         let old = shared && w.reported.is_none_or(|at| now - at > OLD);
-        w.blend_others(others, if old { 1.0 } else { REPORT_GAIN });
+        w.blend_others(others, if old { 1.0 } else { REPORT_GAIN }, now);
         w.reported = Some(now);
         self.fill += (held / w.learned_slots.unwrap_or(PAPER_FULL) - self.fill) * FILL_GAIN;
     }
--- a/crates/decisions/tests/mechanism.rs
+++ b/crates/decisions/tests/mechanism.rs
@@ -67,6 +67,9 @@
         sent
     });
     assert!(sent.count() < 59);
+    // A worker that sends no reports is refused nothing for good: what its late starts showed is old after a minute.
+    host.ms += 60_000.0;
+    assert!(sent_to(&host.ask(60, 0, Some("k"))).is_some(), "refused for what was seen a minute ago");
 }
 
 /// The key's own few workers are no reason to refuse what the rest of the fleet would start in time.
