Soak: fleets drawn from seeds, with failing system calls, judged by every rule

Two judges are new in every rehearsal, with tests that trip them: the deadline passed on, and attempts after a job's end.

A machine that starts anew has a new listener now.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -71,6 +71,7 @@
         program: program(what.program.as_deref())?,
         seed: what.seed,
         patience: Duration::from_secs(15),
+        faults: None,
     };
     runtime()?.block_on(async {
         let rig = Rig::start(scenario, options).await.map_err(|error| error.to_string())?;
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -11,11 +11,14 @@
 use rookspoke_emulator::report::Score;
 use rookspoke_emulator::rng::{stream, Stream};
 use rookspoke_emulator::scenario::{Scenario, Stage};
+use rookspoke_emulator::script;
 use rookspoke_rig::clock::{Clock, Lateness};
+use rookspoke_rig::dispatcher::FaultInjection;
 use rookspoke_rig::judge::OneAnswer;
 use rookspoke_rig::load::{Load, Seat, SOCKET_SLACK};
 use rookspoke_rig::play::{Options, Outcome, Rig, Verdict};
 use rookspoke_rig::seen::Watch;
+use rookspoke_rig::soak::{Drawn, Sizes};
 
 /// A rule was broken.
 pub const BROKEN: u8 = 1;
@@ -39,6 +42,12 @@
     /// A parameter's value, before what the script says
     #[arg(long, value_name = "NAME=VALUE", value_parser = crate::pair)]
     set: Vec<(String, String)>,
+    /// Draw sizes, habits, incidents and failing system calls from the seed
+    #[arg(long, conflicts_with_all = ["script", "dispatchers", "workers", "set"])]
+    draw: bool,
+    /// The library that makes system calls fail, `librookspoke_faults.so`; without it a drawn play has no such failures
+    #[arg(long, value_name = "FILE", requires = "draw")]
+    faults: Option<PathBuf>,
     /// The dispatcher's program; without it, `rookspoke` beside this one
     #[arg(long, value_name = "FILE")]
     program: Option<PathBuf>,
@@ -56,6 +65,20 @@
         let parameters: Vec<(String, String)> = self.set.iter().cloned().chain(sizes).collect();
         crate::read(self.script.as_deref(), Stage::Processes, &parameters)
     }
+
+    /// The play of the seed, which is printed.
+    fn drawn(&self) -> Result<(Scenario, Option<FaultInjection>), String> {
+        let drawn = Drawn::new(self.seed, Sizes::FULL);
+        crate::say(&drawn.to_string());
+        let scenario = script::read_text("drawn", &drawn.script(), Stage::Processes);
+        let scenario = scenario.map_err(|problems| problems.render())?;
+        let Some(library) = &self.faults else { return Ok((scenario, None)) };
+        // Processes start in folders of their own.
+        let library = library.canonicalize().map_err(|error| {
+            format!("{}: {error}; expected the library of the crate rookspoke-faults", library.display())
+        })?;
+        Ok((scenario, drawn.schedule().map(|schedule| FaultInjection { library, schedule })))
+    }
 }
 
 /// The program of the dispatcher: the one that was named, or the one beside this tool.
@@ -87,11 +110,12 @@
 /// # Errors
 /// It could not be played.
 pub fn rehearse(what: &Rehearse) -> Result<u8, String> {
-    let scenario = what.scenario()?;
+    let (scenario, faults) = if what.draw { what.drawn()? } else { (what.scenario()?, None) };
     let options = Options {
         program: program(what.program.as_deref())?,
         seed: what.seed,
         patience: Duration::from_secs(60),
+        faults,
     };
     runtime()?.block_on(async {
         let rig = Rig::start(scenario, options).await.map_err(|error| error.to_string())?;
@@ -154,7 +178,8 @@
     };
     let scenario = as_rehearsal.scenario()?;
     // No dispatcher is started here, so no program is needed.
-    let options = Options { program: PathBuf::new(), seed: what.seed, patience: Duration::ZERO };
+    let options =
+        Options { program: PathBuf::new(), seed: what.seed, patience: Duration::ZERO, faults: None };
     runtime()?.block_on(async {
         let rig = Rig::without_dispatchers(scenario, options).await.map_err(|error| error.to_string())?;
         std::fs::create_dir_all(&what.configs)
--- a/crates/rig/src/dispatcher.rs
+++ b/crates/rig/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! A dispatcher: the real program as a process, with a folder, a loopback address and a name of its own.
 
 use std::collections::VecDeque;
+use std::ffi::OsStr;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -22,6 +23,18 @@
 /// Lines of its log that are kept for whoever asks.
 const LINES: usize = 400;
 
+/// Where a dispatcher's failed system calls are logged, in its folder.
+const FAULTS_LOG: &str = "faults.log";
+
+/// System calls that fail, by the preloaded library `rookspoke-faults`.
+#[derive(Clone, Debug)]
+pub struct FaultInjection {
+    /// The library.
+    pub library: PathBuf,
+    /// What fails, as it reads it.
+    pub schedule: String,
+}
+
 /// Why a dispatcher is not there.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -76,6 +89,7 @@
     running: tokio::sync::Mutex<Option<Running>>,
     log: Arc<Mutex<VecDeque<String>>>,
     doors: Mutex<Doors>,
+    faults: Option<FaultInjection>,
 }
 
 /// The platform's JSON for a scenario's dispatcher of this number.
@@ -147,9 +161,20 @@
             running: tokio::sync::Mutex::default(),
             log: Arc::default(),
             doors: Mutex::default(),
+            faults: None,
         })
     }
 
+    /// The same with system calls that fail.
+    pub fn with_faults(self, faults: Option<FaultInjection>) -> Self {
+        Dispatcher { faults, ..self }
+    }
+
+    /// How often a system call of its processes was made to fail.
+    pub fn injected_faults(&self) -> usize {
+        std::fs::read_to_string(self.folder.join(FAULTS_LOG)).unwrap_or_default().lines().count()
+    }
+
     fn lives(&self, life: Life) {
         self.watch.sees(Seen::Dispatcher { dispatcher: self.number, life });
     }
@@ -171,7 +196,13 @@
         let spawn = |error| StartError::Spawn { name: self.name.clone(), error };
         let path = self.folder.join("config.json");
         std::fs::write(&path, self.config().to_string()).map_err(spawn)?;
-        let variables = [("PROXY_CONFIG", path.as_os_str()), ("ROOKSPOKE_LOG", "info".as_ref())];
+        let mut variables: Vec<(&str, &OsStr)> =
+            vec![("PROXY_CONFIG", path.as_os_str()), ("ROOKSPOKE_LOG", "info".as_ref())];
+        if let Some(FaultInjection { library, schedule }) = &self.faults {
+            variables.push(("LD_PRELOAD", library.as_os_str()));
+            variables.push(("ROOKSPOKE_FAULTS", schedule.as_ref()));
+            variables.push(("ROOKSPOKE_FAULTS_LOG", FAULTS_LOG.as_ref()));
+        }
         let arguments = ["--set".as_ref(), "log.format=json".as_ref()];
         let mut process =
             self.keeper.spawn(&self.program, &arguments, &self.folder, &variables).await.map_err(spawn)?;
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -40,14 +40,18 @@
     pub answer: Span,
     /// How long sends to a log worker go on after its drain was told.
     pub drain: Span,
+    /// What a request takes from a dispatcher to a log worker.
+    pub transit: Span,
 }
 
-/// The four rules, and that a daemon's figures are true.
+/// The rules, and that a daemon's figures are true.
 pub fn all(allowed: Allowed) -> Vec<Box<dyn Invariant>> {
     vec![
         Box::new(OneAnswer::new(allowed.answer)),
         Box::new(NoDuplicate::default()),
         Box::new(CleanDrain::new(allowed.drain)),
+        Box::new(TrueDeadline::new(allowed.transit)),
+        Box::new(NoLateAttempt::new(allowed.transit)),
         Box::new(GentleStart),
         Box::new(TrueFigures),
         Box::new(NoCrash),
@@ -94,11 +98,16 @@
         }
     }
 
+    /// Whether it was out of order at any time since then.
+    fn was_out(&self, dispatcher: usize, since: Time) -> bool {
+        self.0.get(&dispatcher).is_some_and(|outage| outage.now.is_some() || outage.last >= since)
+    }
+
     /// Whether a job that had no answer is excused. One that no log worker got may have crossed the end of its connection
     /// unread, which its client sends again.
     fn excuse(&self, dispatcher: usize, sent: Time, reached: bool) -> bool {
         let Some(outage) = self.0.get(&dispatcher) else { return false };
-        if outage.now.is_some() || outage.last >= sent {
+        if self.was_out(dispatcher, sent) {
             return true;
         }
         let Some(terminated) = outage.terminated else { return false };
@@ -193,7 +202,7 @@
     fn sees(&mut self, _: Time, seen: &Seen) -> Option<String> {
         match seen {
             Seen::Sent { id, once: true, .. } => drop(self.once.insert(*id)),
-            Seen::Reached { id, worker } if self.once.contains(id) => {
+            Seen::Reached { id, worker, .. } if self.once.contains(id) => {
                 let runs = self.may_have_run.entry(*id).or_default();
                 *runs += 1;
                 if *runs > 1 {
@@ -245,7 +254,7 @@
             Seen::Dispatcher { dispatcher, life: Life::Started } => {
                 self.told.retain(|(of, _), _| of != dispatcher);
             }
-            Seen::Reached { id, worker } => {
+            Seen::Reached { id, worker, .. } => {
                 let dispatcher = JobId(*id).dispatcher();
                 let since = self.told.get(&(dispatcher, *worker))?;
                 if at - *since > self.grace {
@@ -259,6 +268,102 @@
     }
 }
 
+/// A log worker may be told of more time than the client has left by this much: the dispatcher may be held up between
+/// looking at its clock and writing.
+const DEADLINE_SLACK: Span = Span(150_000);
+
+/// The time that a log worker is told to have for a job is no longer than its client will wait.
+pub struct TrueDeadline {
+    transit: Span,
+    /// When each open job was sent, and when its client gives up.
+    open: HashMap<u64, (Time, Time)>,
+    outages: Outages,
+}
+
+impl TrueDeadline {
+    /// A judge of requests that take so long on their way at most.
+    pub fn new(transit: Span) -> Self {
+        TrueDeadline { transit, open: HashMap::new(), outages: Outages::default() }
+    }
+}
+
+impl Invariant for TrueDeadline {
+    fn name(&self) -> &str {
+        "true deadline"
+    }
+
+    fn sees(&mut self, at: Time, seen: &Seen) -> Option<String> {
+        self.outages.sees(at, seen);
+        match seen {
+            Seen::Sent { id, deadline_ms, .. } => {
+                self.open.insert(*id, (at, Time::from_ms(*deadline_ms)));
+                None
+            }
+            Seen::Closed { id, .. } => {
+                self.open.remove(id);
+                None
+            }
+            Seen::Reached { id, worker, left_ms } => {
+                let (sent, deadline) = *self.open.get(id)?;
+                let Some(left_ms) = left_ms else {
+                    return Some(format!("job {} reached w{worker} without a deadline", JobId(*id)));
+                };
+                let beyond = Span::from_ms(*left_ms) - (deadline - at);
+                let is_true = beyond <= DEADLINE_SLACK + self.transit;
+                if is_true || self.outages.was_out(JobId(*id).dispatcher(), sent) {
+                    return None;
+                }
+                Some(format!("w{worker} was told {:.0} ms too many for job {}", beyond.ms(), JobId(*id)))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// How long after a client has left an attempt may still begin.
+const LEFT_GRACE: Span = Span(100_000);
+
+/// Nothing is sent to log workers for a job that is over.
+pub struct NoLateAttempt {
+    transit: Span,
+    /// When jobs ended.
+    ended: HashMap<u64, Time>,
+    outages: Outages,
+}
+
+impl NoLateAttempt {
+    /// A judge of requests that take so long on their way at most.
+    pub fn new(transit: Span) -> Self {
+        NoLateAttempt { transit, ended: HashMap::new(), outages: Outages::default() }
+    }
+}
+
+impl Invariant for NoLateAttempt {
+    fn name(&self) -> &str {
+        "no late attempt"
+    }
+
+    fn sees(&mut self, at: Time, seen: &Seen) -> Option<String> {
+        self.outages.sees(at, seen);
+        match seen {
+            Seen::Closed { id, .. } => {
+                self.ended.insert(*id, at);
+                None
+            }
+            Seen::Reached { id, worker, .. } => {
+                let ended = *self.ended.get(id)?;
+                let late = at - ended > LEFT_GRACE + self.transit;
+                let excused = self.outages.was_out(JobId(*id).dispatcher(), ended);
+                (late && !excused).then(|| {
+                    let after = (at - ended).ms();
+                    format!("job {} reached w{worker} {after:.0} ms after its end", JobId(*id))
+                })
+            }
+            _ => None,
+        }
+    }
+}
+
 /// No cold log worker is pushed over by those who know that it is cold.
 pub struct GentleStart;
 
@@ -315,7 +420,7 @@
 mod tests {
     use super::*;
 
-    const ALLOWED: Allowed = Allowed { answer: Span(66_000), drain: Span(550_000) };
+    const ALLOWED: Allowed = Allowed { answer: Span(66_000), drain: Span(550_000), transit: Span(50_000) };
 
     fn sent(id: u64, once: bool) -> Seen {
         Seen::Sent { id, dispatcher: 0, once, deadline_ms: 1000.0 }
@@ -368,7 +473,7 @@
     #[test]
     fn a_dispatcher_that_was_told_to_end_owes_what_came_late_or_was_cut_off_by_itself() {
         let life = |life| Seen::Dispatcher { dispatcher: 0, life };
-        let reached = Seen::Reached { id: 1, worker: 2 };
+        let reached = Seen::Reached { id: 1, worker: 2, left_ms: Some(0.0) };
         let lost_after = |sent_at: i64, end: Life, is_reached: bool| {
             let mut story = vec![(0, life(Life::Terminated)), (sent_at, sent(1, false))];
             story.extend(is_reached.then(|| (sent_at + 1, reached.clone())));
@@ -392,7 +497,7 @@
 
     #[test]
     fn what_may_have_run_is_neither_sent_again_nor_refused() {
-        let reached = |id| Seen::Reached { id, worker: 2 };
+        let reached = |id| Seen::Reached { id, worker: 2, left_ms: Some(0.0) };
         let away = |id| Seen::Away { id, worker: 2 };
         let end = |end| (9, closed(1, end));
         let twice = |once| vec![(0, sent(1, once)), (1, reached(1)), (2, reached(1)), end(End::Served)];
@@ -415,7 +520,11 @@
     fn the_first_word_of_a_drain_counts_and_a_new_process_knows_nothing_of_it() {
         let told = |takes| Seen::Told { dispatcher: 0, worker: 2, takes };
         let job = |at| {
-            vec![(at, sent(1, false)), (at, Seen::Reached { id: 1, worker: 2 }), (at, closed(1, End::Served))]
+            vec![
+                (at, sent(1, false)),
+                (at, Seen::Reached { id: 1, worker: 2, left_ms: Some(0.0) }),
+                (at, closed(1, End::Served)),
+            ]
         };
         let story = |rest| [vec![(0, told(false)), (300, told(false))], rest].concat();
         assert!(broken(&story(job(550))).is_empty());
@@ -425,6 +534,27 @@
         assert!(broken(&[story(vec![again]), job(900)].concat()).is_empty());
     }
 
+    #[test]
+    fn a_log_worker_is_told_no_more_time_than_its_client_has_left() {
+        let reached = |left_ms| Seen::Reached { id: 1, worker: 2, left_ms };
+        let at_700 =
+            |left_ms| broken(&[(0, sent(1, false)), (700, reached(left_ms)), (800, closed(1, End::Served))]);
+        assert!(at_700(Some(500.0)).is_empty(), "300 ms, the slack and the way");
+        assert_eq!(at_700(Some(501.0)), ["true deadline"]);
+        assert_eq!(at_700(None), ["true deadline"]);
+        let held_up = [(0, sent(1, false)), (10, Seen::Dispatcher { dispatcher: 0, life: Life::Stopped })];
+        let story = [held_up.to_vec(), vec![(700, reached(Some(900.0))), (800, closed(1, End::Served))]];
+        assert!(broken(&story.concat()).is_empty(), "it stood still on the way");
+    }
+
+    #[test]
+    fn nothing_is_sent_for_a_job_that_is_over() {
+        let reached = |at| (at, Seen::Reached { id: 1, worker: 2, left_ms: Some(0.0) });
+        let gone = [(0, sent(1, false)), (100, closed(1, End::Failed))];
+        assert!(broken(&[gone.to_vec(), vec![reached(250)]].concat()).is_empty());
+        assert_eq!(broken(&[gone.to_vec(), vec![reached(251)]].concat()), ["no late attempt"]);
+    }
+
     #[test]
     fn falls_figures_and_ends_are_judged() {
         assert_eq!(broken(&[(0, Seen::Fell { worker: 1, told: true })]), ["gentle start"]);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod registry;
 pub mod seen;
 mod serve;
+pub mod soak;
 pub mod ways;
--- a/crates/rig/src/plant.rs
+++ b/crates/rig/src/plant.rs
@@ -316,11 +316,11 @@
         let _ = attempt.say.try_send(Ok(Bytes::from(format!("{line}\n"))));
     }
 
-    fn take(&self, worker: usize, id: u64, facts: Facts) -> Taken {
+    fn take(&self, worker: usize, id: u64, left_ms: Option<f64>, facts: Facts) -> Taken {
         let mut works = self.works();
         let works = &mut *works;
         let now = self.now();
-        self.0.watch.sees(Seen::Reached { id, worker });
+        self.0.watch.sees(Seen::Reached { id, worker, left_ms });
         if works.machines[worker].worker.is_cold(now) && self.falls(works, worker, id) {
             return Taken::Broke;
         }
@@ -578,7 +578,11 @@
                     listener = Some(open);
                 }
                 // The system takes connections for it, and nobody answers.
-                State::Silent => drop(state.changed().await),
+                State::Silent => {
+                    drop(state.changed().await);
+                    // Its machine starts anew: connections that nobody has accepted go with the old one.
+                    listener = None;
+                }
                 State::Down => {
                     listener = None;
                     if state.changed().await.is_err() {
@@ -658,13 +662,15 @@
     }
 
     async fn job(&self, worker: usize, id: u64, request: Request<Incoming>) -> Response<Told> {
+        let left_ms =
+            request.headers().get("x-time-left-ms").and_then(|left| left.to_str().ok()?.parse().ok());
         let Ok(body) = Limited::new(request.into_body(), MAX_BODY).collect().await else {
             return plain(StatusCode::BAD_REQUEST, "");
         };
         let Ok(facts) = serde_json::from_slice::<Facts>(&body.to_bytes()) else {
             return plain(StatusCode::BAD_REQUEST, "");
         };
-        match self.take(worker, id, facts) {
+        match self.take(worker, id, left_ms, facts) {
             Taken::Away => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "");
                 response.headers_mut().insert("x-unprocessed", http::HeaderValue::from_static("1"));
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -20,7 +20,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::clock::{duration, Clock, Lateness, LatenessFigures};
-use crate::dispatcher::{config, Dispatcher, StartError};
+use crate::dispatcher::{config, Dispatcher, FaultInjection, StartError};
 use crate::job::JobId;
 use crate::judge::{all, Allowed, Breach};
 use crate::keeper::Keeper;
@@ -60,6 +60,8 @@
     pub seed: u64,
     /// How long a dispatcher may take to be ready.
     pub patience: Duration,
+    /// System calls of the dispatchers that fail.
+    pub faults: Option<FaultInjection>,
 }
 
 /// A play that could not be.
@@ -165,6 +167,7 @@
         let allowed = Allowed {
             answer: s.span("rules.answer-slack") + SOCKET_SLACK,
             drain: s.span("rules.drain-grace") + SOCKET_SLACK + ways.most_delay(),
+            transit: SOCKET_SLACK + ways.most_delay(),
         };
         let lateness = Lateness::default();
         let watch = Watch::new(Clock::starting_in(Duration::ZERO), all(allowed));
@@ -208,7 +211,8 @@
             let own_seed = stream(options.seed, Stream::Policy, number as u64).random();
             let mut told = config(s, number, places.of(Kind::Dispatcher, number).ip(), discovery, own_seed);
             told["known"] = registry.known(number);
-            let dispatcher = Dispatcher::new(&keeper, &options.program, number, told, watch.clone())?;
+            let dispatcher = Dispatcher::new(&keeper, &options.program, number, told, watch.clone())?
+                .with_faults(options.faults.clone());
             dispatchers.push(Arc::new(dispatcher));
             seats.push(Seat::new());
         }
@@ -509,6 +513,11 @@
         all_joined(starts).await
     }
 
+    /// How often system calls of all dispatchers were made to fail.
+    pub fn injected_faults(&self) -> usize {
+        self.dispatchers.iter().map(|dispatcher| dispatcher.injected_faults()).sum()
+    }
+
     /// Holds each dispatcher's own figures against what was seen, closes the books, and says what it came to.
     pub async fn outcome(&self) -> Outcome {
         let (mut memory, mut count, mut cpu_s) = (0, 0, 0.0);
@@ -611,7 +620,7 @@
 /// Requests that reached a log worker of another zone.
 fn seen_across(watch: &Watch, zones: usize) -> u64 {
     let across = |seen: &Seen| match seen {
-        Seen::Reached { id, worker } => JobId(*id).dispatcher() % zones != worker % zones,
+        Seen::Reached { id, worker, .. } => JobId(*id).dispatcher() % zones != worker % zones,
         _ => false,
     };
     watch.count(across) as u64
--- a/crates/rig/src/seen.rs
+++ b/crates/rig/src/seen.rs
@@ -86,6 +86,8 @@
         id: u64,
         /// The log worker.
         worker: usize,
+        /// The time that its client has left, as the request says.
+        left_ms: Option<f64>,
     },
     /// A log worker turned an attempt away or handed it back: it never ran.
     Away {
--- a/crates/rookspoke/tests/rehearsal.rs
+++ b/crates/rookspoke/tests/rehearsal.rs
@@ -39,6 +39,7 @@
         program: PathBuf::from(env!("CARGO_BIN_EXE_rookspoke")),
         seed: 7,
         patience: Duration::from_secs(30),
+        faults: None,
     }
 }
 
--- /dev/null
+++ b/crates/rookspoke/tests/soak.rs
@@ -0,0 +1,106 @@
+//! Fleets drawn from seeds: real dispatchers with failing system calls, log workers that drain, fall silent and come
+//! back, and a discovery that fails, judged from outside by every rule.
+//!
+//! `ROOKSPOKE_SOAK_SEEDS=FROM..TO cargo test -p rookspoke --test soak -- --nocapture` plays other seeds in full size.
+
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use rookspoke_emulator::scenario::Stage;
+use rookspoke_emulator::script;
+use rookspoke_rig::dispatcher::FaultInjection;
+use rookspoke_rig::play::{Options, Outcome, Rig, Verdict};
+use rookspoke_rig::soak::{Drawn, Sizes};
+
+/// Names the seeds of a soak that is run by hand.
+const SOAK: &str = "ROOKSPOKE_SOAK_SEEDS";
+/// The seeds that every run plays.
+const SEEDS: Range<u64> = 1..6;
+/// Plays of one seed that may prove nothing, since the rig ran late.
+const VOID_PLAYS: usize = 4;
+/// A dispatcher may take so long to be ready.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What came of one play.
+struct Played {
+    outcome: Outcome,
+    injected_faults: usize,
+}
+
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_rookspoke"))
+}
+
+fn fault_library() -> PathBuf {
+    let library = Path::new(env!("CARGO_BIN_EXE_rookspoke")).with_file_name("deps/librookspoke_faults.so");
+    assert!(library.exists(), "{} is not there", library.display());
+    library
+}
+
+async fn play_once(drawn: &Drawn) -> Played {
+    let scenario = script::read_text("drawn.lab", &drawn.script(), Stage::Processes)
+        .unwrap_or_else(|problems| panic!("{drawn}\n{}", problems.render()));
+    let faults = drawn.schedule().map(|schedule| FaultInjection { library: fault_library(), schedule });
+    let options = Options { program: program(), seed: drawn.seed, patience: PATIENCE, faults };
+    let rig = Rig::start(scenario, options).await.unwrap_or_else(|error| panic!("{drawn}\n{error}"));
+    rig.play().await.unwrap_or_else(|error| panic!("{drawn}\n{error}"));
+    let outcome = rig.outcome().await;
+    Played { outcome, injected_faults: rig.injected_faults() }
+}
+
+/// Plays until a play proves something. A play whose faults were never met proves nothing either.
+fn play(drawn: &Drawn) -> Played {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    for _ in 0..VOID_PLAYS {
+        let played = runtime.block_on(play_once(drawn));
+        let fails_calls = drawn.faults.iter().any(|fault| !fault.starts_with("clock="));
+        if fails_calls && played.injected_faults == 0 {
+            eprintln!("seed {}: void, no system call was made to fail", drawn.seed);
+        } else if played.outcome.verdict == Verdict::Void {
+            eprintln!("seed {}: void, the rig ran late: {:?}", drawn.seed, played.outcome.lateness);
+        } else {
+            return played;
+        }
+    }
+    panic!("seed {}: {VOID_PLAYS} plays were void", drawn.seed);
+}
+
+fn fails(drawn: &Drawn) -> bool {
+    play(drawn).outcome.verdict == Verdict::Broken
+}
+
+/// `FROM..TO`, as the environment says.
+fn seeds() -> Option<Range<u64>> {
+    let text = std::env::var(SOAK).ok()?;
+    let parsed = text.split_once("..").and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
+    Some(parsed.unwrap_or_else(|| panic!("{SOAK}: found {text:?}, expected FROM..TO")))
+}
+
+#[test]
+fn fleets_drawn_from_seeds_keep_every_rule() {
+    let by_hand = seeds();
+    let sizes = if by_hand.is_some() { Sizes::FULL } else { Sizes::SMALL };
+    let mut broken = Vec::new();
+    for seed in by_hand.clone().unwrap_or(SEEDS) {
+        let drawn = Drawn::new(seed, sizes);
+        let Played { outcome, injected_faults } = play(&drawn);
+        let report = &outcome.report;
+        println!(
+            "seed {seed}: {:?}, {} jobs, service {:.2}, {} served, {} refused, {injected_faults} faults, {:?}",
+            outcome.verdict, report.jobs, report.service, report.served, report.refused, report.rules
+        );
+        if outcome.verdict == Verdict::Broken {
+            println!("{drawn}{:#?}", outcome.breaches.first());
+            broken.push(drawn);
+        }
+    }
+    if by_hand.is_some() {
+        for drawn in &broken {
+            println!("the least that fails:\n{}", drawn.clone().shrink(fails));
+        }
+    }
+    let seeds: Vec<u64> = broken.iter().map(|drawn| drawn.seed).collect();
+    assert!(seeds.is_empty(), "rules were broken at the seeds {seeds:?}");
+}
