Bans: a change that holds but may not be on disk is told apart

Cause: Store::change promised on every error that the set was as before. After a failing second rename or a failing sync of the folder the change is already what is read, so an operator heard of a failure and the ban held. Now BanError::NotDurable says so; the same call again completes it. Test: a second file that cannot be put in place (before: Io). Also: what the counter closed counts, and a shutdown's log takes the request's id from the call it has.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -337,10 +337,10 @@
             let is_call = grpc::is_call(request.headers());
             Ok(match channel.read(request).await {
                 Ok((ask, _open)) => {
-                    let _over = Over(ask.call.clone());
-                    let (id, class) = (ask.call.id.clone(), ask.class);
+                    let over = Over(ask.call.clone());
+                    let class = ask.class;
                     let answer = channel.advise(channel.handle.ask(ask).await);
-                    channel.log_at_shutdown(&id, class, &answer);
+                    channel.log_at_shutdown(&over.0.id, class, &answer);
                     match is_call {
                         true => grpc::respond(answer),
                         false => respond(answer),
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -52,7 +52,7 @@
     malformed,
     /// Requests turned down before they were taken, for what the front knows.
     turned_down,
-    /// Client connections closed before their time: silent for too long, to make room, or at the end of a shutdown.
+    /// Client connections closed before their time: silent for too long, or to make room. Those that a shutdown cuts off are not among them.
     closed,
     /// Client connections that a graceful shutdown found open.
     shutdown_connections,
--- a/crates/state/src/bans.rs
+++ b/crates/state/src/bans.rs
@@ -31,6 +31,10 @@
     /// The system says so.
     #[error("{0}: {1}")]
     Io(PathBuf, io::Error),
+    /// The change is in place, and every process sees it; after a power cut it may be gone. The same call again
+    /// completes it.
+    #[error("the change holds, but the disk may not have it yet; call again: {0}: {1}")]
+    NotDurable(PathBuf, io::Error),
     /// Another process is changing it: worth another try in a moment.
     #[error("{0}: another process holds the lock")]
     Busy(PathBuf),
@@ -93,7 +97,7 @@
     /// `last` is what this process held last, for the case that no file can tell any more.
     ///
     /// # Errors
-    /// As [`BanError`] says; the set is as it was.
+    /// As [`BanError`] says; the set is as it was, except after [`BanError::NotDurable`].
     pub fn change(&self, worker: &str, out: bool, now: i64, last: &Held) -> Result<Held, BanError> {
         check_name(worker)?;
         let _lock = self.lock()?;
@@ -115,12 +119,13 @@
             for path in &paths {
                 file::write(path, KIND, &text(&held)).map_err(|error| BanError::Io(path.clone(), error))?;
             }
-            for path in paths {
-                file::put_in_place(&path).map_err(|error| BanError::Io(path, error))?;
-            }
+            let [first, second] = paths;
+            file::put_in_place(&first).map_err(|error| BanError::Io(first, error))?;
+            // From here on the change is what is read.
+            file::put_in_place(&second).map_err(|error| BanError::NotDurable(second, error))?;
         }
         // Also where nothing changes: what an earlier call put in place may not have come so far.
-        file::sync_folder(&self.folder).map_err(|error| BanError::Io(self.folder.clone(), error))?;
+        file::sync_folder(&self.folder).map_err(|error| BanError::NotDurable(self.folder.clone(), error))?;
         Ok(held)
     }
 
@@ -206,6 +211,22 @@
         assert_eq!(store.read().expect("as before").0, held);
     }
 
+    #[test]
+    fn a_change_that_is_in_place_in_part_holds_and_says_so() {
+        let (folder, store) = store();
+        let held = store.change("s-1", true, 5, &Held::default()).expect("out");
+        // A folder that is not empty in the place of the second file: the rename fails.
+        let second = folder.path().join(NAMES[1]);
+        std::fs::remove_file(&second).expect("gone");
+        std::fs::create_dir_all(second.join("full")).expect("a folder");
+        assert!(matches!(store.change("s-2", true, 6, &held), Err(BanError::NotDurable(..))));
+        let held = store.read().expect("the first file tells").0;
+        assert!(held.bans.contains_key("s-2"), "{held:?}");
+        // The same call again, once the disk works: the time stays that of the first.
+        std::fs::remove_dir_all(&second).expect("gone");
+        assert_eq!(store.change("s-2", true, 9, &held).expect("out").bans["s-2"], 6);
+    }
+
     #[test]
     fn a_change_under_way_elsewhere_is_told_apart() {
         let (_folder, store) = store();
