--- a/crates/decisions/src/figures.rs
+++ b/crates/decisions/src/figures.rs
@@ -1,7 +1,7 @@
 //! What operators are told of a dispatcher's log workers. Nothing is decided here.
 
 use crate::api::Census;
-use crate::brain::Dispatcher;
+use crate::dispatcher::Dispatcher;
 
 impl Dispatcher {
     /// How many workers there are.
--- /dev/null
+++ b/crates/decisions/src/fleet.rs
@@ -0,0 +1,192 @@
+//! All workers: which are listed, in service, or taken out by hand.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::api::*;
+use crate::partitions::Partitions;
+use crate::worker::{KeyHash, Worker, WorkerId};
+
+/// Workers by name and number, and those in service in the order of their names.
+#[derive(Default)]
+pub struct Fleet {
+    by_name: BTreeMap<Name, WorkerId>,
+    by_id: FxHashMap<WorkerId, Worker>,
+    next: WorkerId,
+    /// What operators have taken out by hand, and since when.
+    banned: BTreeMap<Name, Time>,
+    pub ready: Vec<WorkerId>,
+    /// Those of the own zone and the others; for any job, and for the jobs that need one kind.
+    partitions: BTreeMap<(bool, Option<KindId>), Partitions>,
+}
+
+impl Fleet {
+    pub fn find(&self, name: &str) -> Option<WorkerId> {
+        self.by_name.get(name).copied()
+    }
+    pub fn get(&self, id: WorkerId) -> Option<&Worker> {
+        self.by_id.get(&id)
+    }
+    pub fn get_mut(&mut self, id: WorkerId) -> Option<&mut Worker> {
+        self.by_id.get_mut(&id)
+    }
+    /// Takes a list or its changes; a worker absent from a complete list has been removed.
+    pub fn apply(&mut self, scope: ListScope, entries: &[Listing], s: &Settings, now: Time) {
+        if scope != ListScope::Changes {
+            let named: FxHashSet<&str> = entries.iter().map(|entry| entry.worker.as_ref()).collect();
+            let left = self.by_name.iter().filter(|(name, _)| !named.contains(name.as_ref()));
+            let left: Vec<WorkerId> = left.map(|(_, id)| *id).collect();
+            left.into_iter().for_each(|id| self.set_readiness(id, Readiness::Gone));
+        }
+        for entry in entries {
+            let id = match self.find(&entry.worker) {
+                Some(id) => id,
+                None if entry.readiness == Readiness::Gone => continue,
+                None => {
+                    self.next += 1;
+                    self.by_name.insert(entry.worker.clone(), self.next);
+                    self.by_id.insert(self.next, Worker::new(entry, s, now));
+                    self.next
+                }
+            };
+            let Some(w) = self.by_id.get_mut(&id) else { continue };
+            if entry.readiness == Readiness::InService && w.listed_start != entry.started {
+                w.listed_start = entry.started;
+                w.restart(entry.started, now);
+            }
+            w.cell = entry.cell.or(w.cell);
+            let (weighs, hash, keys) = (w.weight != entry.weight, w.hash, w.partitions());
+            w.weight = entry.weight;
+            if weighs && w.ready {
+                for key in keys {
+                    self.partitions.entry(key).or_default().touch(hash);
+                }
+            }
+            self.set_readiness(id, entry.readiness);
+        }
+    }
+    /// Takes what operators have taken out by hand, whether it is listed or not. What comes back was restarted
+    /// meanwhile, so it is as cold as one can be, unless the list told of that start since.
+    pub fn ban(&mut self, bans: &[Ban], now: Time) {
+        let new = bans.iter().map(|ban| (ban.worker.clone(), ban.since)).collect();
+        let old = std::mem::replace(&mut self.banned, new);
+        let back = old.iter().filter(|(name, _)| !self.banned.contains_key(*name));
+        for (id, since) in
+            back.filter_map(|(name, since)| Some((self.find(name)?, *since))).collect::<Vec<_>>()
+        {
+            if let Some(w) = self.by_id.get_mut(&id).filter(|w| w.listed_start.is_none_or(|at| at < since)) {
+                w.restart(Some(now), now);
+            }
+            self.refresh(id);
+        }
+        for id in bans.iter().filter_map(|ban| self.find(&ban.worker)).collect::<Vec<_>>() {
+            self.refresh(id);
+        }
+    }
+    /// Whether a worker is listed, or taken out by hand.
+    pub fn knows(&self, name: &str) -> bool {
+        let listed =
+            self.find(name).and_then(|id| self.get(id)).is_some_and(|w| w.readiness != Readiness::Gone);
+        listed || self.banned.contains_key(name)
+    }
+    /// Whether operators, and nothing else, leave no worker in service.
+    pub fn all_banned(&self) -> bool {
+        let in_service = || self.by_id.values().any(|w| w.readiness == Readiness::InService);
+        self.ready.is_empty() && !self.banned.is_empty() && in_service()
+    }
+    pub fn census(&self, now: Time) -> Census {
+        let listed = || self.by_id.values().filter(|w| w.readiness != Readiness::Gone);
+        let skipped = listed().filter(|w| !w.ready || now < w.ejected_until).count();
+        Census { known: listed().count(), skipped }
+    }
+    fn set_readiness(&mut self, id: WorkerId, readiness: Readiness) {
+        if let Some(w) = self.by_id.get_mut(&id) {
+            w.readiness = readiness;
+            self.refresh(id);
+        }
+    }
+    /// Moves a worker into or out of what is in service. One that is gone and owes nothing is forgotten.
+    fn refresh(&mut self, id: WorkerId) {
+        let Some(w) = self.by_id.get_mut(&id) else { return };
+        let ready = w.readiness == Readiness::InService && !self.banned.contains_key(&w.name);
+        if std::mem::replace(&mut w.ready, ready) != ready {
+            let (hash, keys, name) = (w.hash, w.partitions(), w.name.clone());
+            let by_id = &self.by_id;
+            let place = self.ready.partition_point(|other| by_id.get(other).is_some_and(|o| o.name < name));
+            match ready {
+                true => self.ready.insert(place, id),
+                false => drop(self.ready.remove(place)),
+            }
+            for key in keys {
+                let parts = self.partitions.entry(key).or_default();
+                match ready {
+                    true => parts.insert(hash, id),
+                    false => parts.remove(hash, id),
+                }
+            }
+        }
+        self.forget_if_idle(id);
+    }
+    /// Workers in service from which a key takes its order: in a fleet of some hundreds all, else a fixed number
+    /// that depends on the key. Of the own zone, of others, or of all.
+    pub fn candidates(
+        &self,
+        key: KeyHash,
+        kind: Option<KindId>,
+        near: Option<bool>,
+    ) -> impl Iterator<Item = WorkerId> + '_ {
+        let zones = [true, false].into_iter().filter(move |zone| near.is_none_or(|near| near == *zone));
+        let parts = zones.filter_map(move |zone| self.partitions.get(&(zone, kind)));
+        let parts = parts.flat_map(move |parts| parts.of(key));
+        parts.flat_map(|part| part.workers.iter().map(|(_, id)| *id))
+    }
+    /// A number that is another one after each change of a key's candidates.
+    pub fn version(&self, key: KeyHash, kind: Option<KindId>) -> (u64, u64) {
+        let of = |near| self.partitions.get(&(near, kind)).map_or(0, |parts| parts.version(key));
+        (of(true), of(false))
+    }
+    /// Marks as probed, and names, the first `most` workers that have not reported since `since`.
+    pub fn probe_stale<'a>(
+        &mut self,
+        of: impl Iterator<Item = &'a WorkerId>,
+        since: Time,
+        most: usize,
+    ) -> Vec<Name> {
+        let mut named = Vec::new();
+        for id in of {
+            let stale = |w: &&mut Worker| w.ready && !w.probe_out && w.reported.is_none_or(|at| at < since);
+            if let Some(w) = self.by_id.get_mut(id).filter(|w| named.len() < most && stale(w)) {
+                w.probe_out = true;
+                named.push(w.name.clone());
+            }
+        }
+        named
+    }
+    /// A probe of this worker came back.
+    pub fn probed(&mut self, name: &str) -> Option<WorkerId> {
+        let id = self.find(name)?;
+        self.by_id.get_mut(&id)?.probe_out = false;
+        self.forget_if_idle(id);
+        Some(id)
+    }
+    /// Forgets a worker that is not listed and owes no outcome.
+    pub fn forget_if_idle(&mut self, id: WorkerId) {
+        if self.by_id.get(&id).is_some_and(|w| w.readiness == Readiness::Gone && w.jobs == 0 && !w.probe_out)
+        {
+            if let Some(w) = self.by_id.remove(&id) {
+                self.by_name.remove(&w.name);
+            }
+        }
+    }
+}
+
+/// The `most` workers of lowest rank, in rank order.
+pub fn lowest(mut ranked: Vec<(f64, WorkerId)>, most: usize) -> Vec<WorkerId> {
+    if ranked.len() > most {
+        ranked.select_nth_unstable_by(most, |a, b| a.0.total_cmp(&b.0));
+        ranked.truncate(most);
+    }
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.into_iter().map(|r| r.1).collect()
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -2,12 +2,20 @@
 //!
 //! A host feeds [`Event`]s to a [`Dispatcher`] and carries out the [`Action`]s it pushes.
 
+mod admission;
 mod api;
-mod book;
-mod brain;
+mod dispatcher;
 mod figures;
+mod fleet;
+mod health;
 mod list_age;
+mod partitions;
+mod placement;
+mod requests;
+mod retry;
+mod slow_start;
+mod worker;
 
 pub use api::*;
-pub use brain::Dispatcher;
+pub use dispatcher::Dispatcher;
 pub use list_age::{ListAge, TOLD_WITHIN};
--- /dev/null
+++ b/crates/decisions/src/partitions/tests.rs
@@ -0,0 +1,84 @@
+//! Partitions of small and large fleets.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::*;
+
+fn filled(count: u64) -> Partitions {
+    let mut parts = Partitions::default();
+    (0..count).for_each(|n| parts.insert(xxh3_64(&n.to_le_bytes()), n as WorkerId));
+    parts
+}
+
+fn looked_at(parts: &Partitions, key: KeyHash) -> Vec<WorkerId> {
+    let mut all: Vec<WorkerId> = parts.of(key).flat_map(|p| p.workers.iter().map(|w| w.1)).collect();
+    all.sort_unstable();
+    all
+}
+
+#[test]
+fn a_key_looks_at_all_of_a_small_fleet_and_at_a_fixed_number_of_a_large_one() {
+    assert_eq!(looked_at(&filled(100), 7), (0..100).collect::<Vec<WorkerId>>());
+    assert_eq!(looked_at(&filled(300), 7).len(), 300);
+    for count in [2_000, 12_000] {
+        let parts = filled(count);
+        let seen: Vec<usize> = (0..50).map(|key| looked_at(&parts, key).len()).collect();
+        let (least, most) = (seen.iter().min().expect("some"), seen.iter().max().expect("some"));
+        assert!(
+            *least > PARTITIONS_PER_KEY * PARTITION_SIZE / 2
+                && *most < PARTITIONS_PER_KEY * PARTITION_SIZE * 3,
+            "{least} to {most} of {count}"
+        );
+    }
+}
+
+#[test]
+fn a_change_elsewhere_leaves_a_keys_version_and_one_in_its_parts_does_not() {
+    let mut parts = filled(4_000);
+    let (key, other) = (7, 4_001);
+    let own = looked_at(&parts, key)[0];
+    let before = parts.version(key);
+    let far = (0..4_000).find(|n| !looked_at(&parts, key).contains(n)).expect("one");
+    parts.remove(xxh3_64(&u64::from(far).to_le_bytes()), far);
+    assert_eq!(parts.version(key), before);
+    parts.remove(xxh3_64(&u64::from(own).to_le_bytes()), own);
+    assert_ne!(parts.version(key), before);
+    parts.insert(xxh3_64(&u64::from(own).to_le_bytes()), other);
+    assert!(looked_at(&parts, key).contains(&other));
+}
+
+#[test]
+fn growth_keeps_half_of_what_a_key_looked_at() {
+    let (small, large) = (filled(4_000), filled(8_200));
+    assert_eq!(large.parts.len(), 2 * small.parts.len());
+    let kept = |key| {
+        let (before, after) = (looked_at(&small, key), looked_at(&large, key));
+        before.iter().filter(|w| after.contains(w)).count() as f64 / before.len() as f64
+    };
+    let mean = (0..40).map(kept).sum::<f64>() / 40.0;
+    assert!((0.4..0.6).contains(&mean), "{mean}");
+}
+
+proptest::proptest! {
+    /// Whatever comes and goes, every worker stands in exactly one part, and versions never come back.
+    #[test]
+    fn no_worker_is_lost(steps in proptest::collection::vec((0u32..700, proptest::bool::ANY), 1..900)) {
+        let mut parts = Partitions::default();
+        let mut held = std::collections::BTreeSet::new();
+        let mut versions = std::collections::BTreeSet::new();
+        for (id, comes) in steps {
+            let hash = xxh3_64(&id.to_le_bytes());
+            match comes {
+                true if held.insert(id) => parts.insert(hash, id),
+                false if held.remove(&id) => parts.remove(hash, id),
+                _ => continue,
+            }
+            let all: Vec<WorkerId> = parts.parts.iter().flat_map(|p| p.workers.iter().map(|w| w.1)).collect();
+            proptest::prop_assert_eq!(all.len(), held.len());
+            proptest::prop_assert!(all.iter().all(|id| held.contains(id)));
+            if parts.parts.len() <= PARTITIONS_PER_KEY {
+                proptest::prop_assert!(versions.insert(parts.version(1)));
+            }
+        }
+    }
+}
