Rank a key's candidates from one array, with few logarithms

Cause, by callgrind: at 3,200 log workers most of a decision is the order of a key that was not asked for lately; each of 512 candidates was looked up in the table of all workers and drawn a logarithm. Ruled out: applying lists, the table's upkeep (2 %). Change: partitions hold what the order needs (hash, weight, kind); a candidate whose lower bound is beyond the 24th is left out. Orders are the same: first_for_key against a sort of all ranks, and a key's first job against a scan of all workers under random lists (fails where a changed weight is not kept).

--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -14,7 +14,7 @@
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use rookspoke_decisions::*;
 
-const SIZES: [usize; 4] = [12, 120, 1_200, 12_000];
+const SIZES: [usize; 6] = [12, 120, 200, 1_200, 3_200, 12_000];
 /// Jobs between two changes of the list.
 const CHANGE_EVERY: u64 = 100;
 /// What is out at most: a dispatcher has only its own part of a large fleet.
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -5,7 +5,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::api::*;
-use crate::partitions::Partitions;
+use crate::partitions::{Candidate, Partitions};
 use crate::worker::{KeyHash, Worker, WorkerId};
 
 /// Workers by name and number, and those in service in the order of their names.
@@ -60,7 +60,7 @@
             w.weight = entry.weight;
             if weighs && w.ready {
                 for key in keys {
-                    self.partitions.entry(key).or_default().touch(hash);
+                    self.partitions.entry(key).or_default().set_weight(hash, id, entry.weight);
                 }
             }
             self.set_readiness(id, entry.readiness);
@@ -111,7 +111,7 @@
         let Some(w) = self.by_id.get_mut(&id) else { return };
         let ready = w.readiness == Readiness::InService && !self.banned.contains_key(&w.name);
         if std::mem::replace(&mut w.ready, ready) != ready {
-            let (hash, keys, name) = (w.hash, w.partitions(), w.name.clone());
+            let (candidate, keys, name) = (w.candidate(id), w.partitions(), w.name.clone());
             let by_id = &self.by_id;
             let place = self.ready.partition_point(|other| by_id.get(other).is_some_and(|o| o.name < name));
             match ready {
@@ -121,8 +121,8 @@
             for key in keys {
                 let parts = self.partitions.entry(key).or_default();
                 match ready {
-                    true => parts.insert(hash, id),
-                    false => parts.remove(hash, id),
+                    true => parts.insert(candidate),
+                    false => parts.remove(candidate.hash, id),
                 }
             }
         }
@@ -135,11 +135,11 @@
         key: KeyHash,
         kind: Option<KindId>,
         near: Option<bool>,
-    ) -> impl Iterator<Item = WorkerId> + '_ {
+    ) -> impl Iterator<Item = &Candidate> + '_ {
         let zones = [true, false].into_iter().filter(move |zone| near.is_none_or(|near| near == *zone));
         let parts = zones.filter_map(move |zone| self.partitions.get(&(zone, kind)));
         let parts = parts.flat_map(move |parts| parts.of(key));
-        parts.flat_map(|part| part.workers.iter().map(|(_, id)| *id))
+        parts.flat_map(|part| &part.workers)
     }
     /// A number that is another one after each change of a key's candidates.
     pub fn version(&self, key: KeyHash, kind: Option<KindId>) -> (u64, u64) {
@@ -180,13 +180,3 @@
         }
     }
 }
-
-/// The `most` workers of lowest rank, in rank order.
-pub fn lowest(mut ranked: Vec<(f64, WorkerId)>, most: usize) -> Vec<WorkerId> {
-    if ranked.len() > most {
-        ranked.select_nth_unstable_by(most, |a, b| a.0.total_cmp(&b.0));
-        ranked.truncate(most);
-    }
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    ranked.into_iter().map(|r| r.1).collect()
-}
--- a/crates/decisions/src/partitions/tests.rs
+++ b/crates/decisions/src/partitions/tests.rs
@@ -4,14 +4,18 @@
 
 use super::*;
 
+fn candidate(hash: u64, id: WorkerId) -> Candidate {
+    Candidate { id, hash, weight: 1.0, kind: None }
+}
+
 fn filled(count: u64) -> Partitions {
     let mut parts = Partitions::default();
-    (0..count).for_each(|n| parts.insert(xxh3_64(&n.to_le_bytes()), n as WorkerId));
+    (0..count).for_each(|n| parts.insert(candidate(xxh3_64(&n.to_le_bytes()), n as WorkerId)));
     parts
 }
 
 fn looked_at(parts: &Partitions, key: KeyHash) -> Vec<WorkerId> {
-    let mut all: Vec<WorkerId> = parts.of(key).flat_map(|p| p.workers.iter().map(|w| w.1)).collect();
+    let mut all: Vec<WorkerId> = parts.of(key).flat_map(|p| p.workers.iter().map(|w| w.id)).collect();
     all.sort_unstable();
     all
 }
@@ -43,7 +47,7 @@
     assert_eq!(parts.version(key), before);
     parts.remove(xxh3_64(&u64::from(own).to_le_bytes()), own);
     assert_ne!(parts.version(key), before);
-    parts.insert(xxh3_64(&u64::from(own).to_le_bytes()), other);
+    parts.insert(candidate(xxh3_64(&u64::from(own).to_le_bytes()), other));
     assert!(looked_at(&parts, key).contains(&other));
 }
 
@@ -69,11 +73,11 @@
         for (id, comes) in steps {
             let hash = xxh3_64(&id.to_le_bytes());
             match comes {
-                true if held.insert(id) => parts.insert(hash, id),
+                true if held.insert(id) => parts.insert(candidate(hash, id)),
                 false if held.remove(&id) => parts.remove(hash, id),
                 _ => continue,
             }
-            let all: Vec<WorkerId> = parts.parts.iter().flat_map(|p| p.workers.iter().map(|w| w.1)).collect();
+            let all: Vec<WorkerId> = parts.parts.iter().flat_map(|p| p.workers.iter().map(|w| w.id)).collect();
             proptest::prop_assert_eq!(all.len(), held.len());
             proptest::prop_assert!(all.iter().all(|id| held.contains(id)));
             if parts.parts.len() <= PARTITIONS_PER_KEY {
@@ -82,3 +86,23 @@
         }
     }
 }
+
+proptest::proptest! {
+    /// The first for a key are those that a sort of all ranks puts first.
+    #[test]
+    fn the_first_for_a_key_are_those_of_the_lowest_ranks(
+        weights in proptest::collection::vec(0.01f64..4.0, 0..300),
+        key: u64,
+        most in 1usize..40,
+    ) {
+        let candidates: Vec<Candidate> = (0u32..)
+            .zip(weights)
+            .map(|(id, weight)| Candidate { weight, ..candidate(xxh3_64(&id.to_le_bytes()), id) })
+            .collect();
+        let mut all: Vec<(f64, WorkerId)> =
+            candidates.iter().map(|one| (-one.draw(key).ln() / one.weight, one.id)).collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let expected: Vec<WorkerId> = all.into_iter().take(most).map(|one| one.1).collect();
+        proptest::prop_assert_eq!(first_for_key(key, candidates.iter(), |one| one.weight, most), expected);
+    }
+}
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -5,8 +5,8 @@
 use crate::admission::LATE;
 use crate::api::*;
 use crate::dispatcher::Dispatcher;
-use crate::fleet::lowest;
 use crate::health::{ERROR_MEMORY, QUEUED_AFTER, STALE_AFTER};
+use crate::partitions::{first_for_key, Candidate};
 use crate::requests::Job;
 use crate::retry::HEDGE_MOST_LATE;
 use crate::worker::{Assigned, Faded, KeyHash, State, Worker, WorkerId};
@@ -148,12 +148,11 @@
 
     /// Weighted rendezvous order of key and worker name: every dispatcher finds the same one without talk.
     fn order(&self, key: KeyHash, kind: Option<KindId>, near: Option<bool>) -> Vec<WorkerId> {
-        let rank = |id: WorkerId| {
-            let w = self.fleet.get(id)?;
-            let left = w.kind.filter(|_| kind.is_none()).map_or(1.0, |k| 1.0 - self.reserved[k.0]);
-            Some((w.draw(key) / (w.weight * left.max(LEAST_LEFT)).max(1e-3), id))
+        let weight = |candidate: &Candidate| {
+            let left = candidate.kind.filter(|_| kind.is_none()).map_or(1.0, |k| 1.0 - self.reserved[k.0]);
+            (candidate.weight * left.max(LEAST_LEFT)).max(1e-3)
         };
-        lowest(self.fleet.candidates(key, kind, near).filter_map(rank).collect(), ORDER)
+        first_for_key(key, self.fleet.candidates(key, kind, near), weight, ORDER)
     }
 
     /// Among how many of a key's first workers a scan begins: twice what is filled if all see the key as often as this.
--- a/crates/decisions/src/worker.rs
+++ b/crates/decisions/src/worker.rs
@@ -1,8 +1,9 @@
 //! What is known of one worker: plain figures, no thresholds, no choosing.
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::api::*;
+use crate::partitions::Candidate;
 use crate::requests::{Job, Peers};
 
 /// A worker's number at one dispatcher; never reused.
@@ -175,10 +176,9 @@
         let part = (now - started).secs() / rules.ramp.secs().max(1e-6);
         (rules.cold_from + (1.0 - rules.cold_from) * part.max(0.0)).min(1.0)
     }
-    /// A draw from the exponential distribution that depends on the key and the worker's name alone.
-    pub fn draw(&self, key: KeyHash) -> f64 {
-        let mixed = xxh3_64_with_seed(&self.hash.to_le_bytes(), key) >> 11;
-        -((mixed as f64 + 0.5) / (1u64 << 53) as f64).ln()
+    /// What the orders of keys need to know of it.
+    pub(crate) fn candidate(&self, id: WorkerId) -> Candidate {
+        Candidate { id, hash: self.hash, weight: self.weight, kind: self.kind }
     }
     /// Own slots in use, smoothed up to `now`.
     pub fn smooth_own(&mut self, now: Time, over: Span) -> f64 {
--- /dev/null
+++ b/crates/decisions/tests/order.rs
@@ -0,0 +1,82 @@
+//! Where a key's first job goes, against the plain form: every worker in service ranked, nothing kept from before.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use proptest::prelude::*;
+use rookspoke_decisions::*;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// What a list says of a worker.
+#[derive(Clone, Debug)]
+struct Said {
+    number: usize,
+    weight: f64,
+    readiness: Readiness,
+}
+
+fn said() -> impl Strategy<Value = Said> {
+    let readiness = prop_oneof![
+        4 => Just(Readiness::InService),
+        1 => Just(Readiness::Draining),
+        1 => Just(Readiness::Gone),
+    ];
+    (0usize..200, prop_oneof![Just(1.0), 0.1..4.0], readiness).prop_map(|(number, weight, readiness)| Said {
+        number,
+        weight,
+        readiness,
+    })
+}
+
+fn entry(said: &Said) -> Listing {
+    Listing { weight: said.weight, readiness: said.readiness, ..listing(said.number) }
+}
+
+/// The worker of the lowest rank: an exponential draw from key and name, over the weight.
+fn first_by_scan(in_service: &BTreeMap<usize, f64>, key: &str) -> Option<String> {
+    let key = xxh3_64_with_seed(key.as_bytes(), 0);
+    let rank = |name: &str, weight: f64| {
+        let mixed = xxh3_64_with_seed(&xxh3_64(name.as_bytes()).to_le_bytes(), key) >> 11;
+        -((mixed as f64 + 0.5) / (1u64 << 53) as f64).ln() / weight
+    };
+    let ranked = in_service.iter().map(|(number, weight)| {
+        let name = listing(*number).worker.to_string();
+        (rank(&name, *weight), name)
+    });
+    ranked.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name)
+}
+
+proptest! {
+    #[test]
+    fn a_keys_first_job_goes_where_a_scan_of_all_workers_puts_it(
+        lists in proptest::collection::vec((any::<bool>(), proptest::collection::vec(said(), 1..150)), 1..12),
+    ) {
+        let mut host = Host::new(settings(&[Effect::Safe]), 0);
+        let mut in_service: BTreeMap<usize, f64> = BTreeMap::new();
+        for (id, (complete, entries)) in (0u64..).zip(lists) {
+            // A list names each worker once.
+            let entries: BTreeMap<usize, Said> =
+                entries.into_iter().map(|said| (said.number, said)).collect();
+            if complete {
+                in_service.clear();
+            }
+            for said in entries.values() {
+                match said.readiness {
+                    Readiness::InService => drop(in_service.insert(said.number, said.weight)),
+                    Readiness::Draining | Readiness::Gone => drop(in_service.remove(&said.number)),
+                }
+            }
+            let scope = if complete { ListScope::Complete } else { ListScope::Changes };
+            host.tell(list(scope, entries.values().map(entry).collect()));
+            host.ms += 5_000.0;
+            let key = format!("key-{id}");
+            let sent = sent_to(&host.ask(id, 0, Some(&key)));
+            prop_assert_eq!(&sent, &first_by_scan(&in_service, &key));
+            if sent.is_some() {
+                host.tell(ended(id, 0, Outcome::Served, true, None));
+            }
+        }
+    }
+}
