Order a key's workers of other zones only where a job looks at them

Cause, by callgrind: half of what ranking cost went into the order of other zones, which a job needs only when the own zone has no room. Change: that order has a version of its own and is made when it is looked at. Decisions are the same.

--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -58,7 +58,8 @@
         let kind = self.settings.classes[job.class.0].kind;
         // A job without a key has a table entry of its own, for this one look.
         let key = job.key.unwrap_or_else(|| self.rng.random());
-        let (mut t, part) = self.entry(key, kind, job.key.is_some() && self.roams());
+        let roams = job.key.is_some() && self.roams();
+        let (mut t, part) = self.entry(key, kind, roams);
         let home = if self.shared() { self.home(&t, job).min(t.near.len()) } else { 1 };
         let drawn = if self.shared() { self.rng.random::<u32>() as usize } else { 0 };
         let risky = |w: &Worker| w.failing(self.now, ERROR_MEMORY) > RISK;
@@ -76,15 +77,19 @@
             let state = |id: &WorkerId| self.fleet.get(*id).map(|w| self.state(w, job.slots, 0.0));
             t.workers.retain(|id| takes(id) || state(id) != Some(State::Busy));
             let takes = |id: &WorkerId| self.fleet.get(*id).is_some_and(|w| self.available(w, job, 0.0));
-            let scan = |of: &[WorkerId]| {
+            let scan = |t: &Assigned, of: &[WorkerId]| {
                 let new = of.iter().copied().filter(|id| !t.workers.contains(id) && fits(id) && takes(id));
                 self.least_loaded(new.take(SAMPLE))
             };
-            let (near, far) = (self.width(&t.near, self.pressure), self.width(&t.far, HIGH_PRESSURE));
-            let near = (t.workers.len() + near).min(t.near.len());
+            let near = (t.workers.len() + self.width(&t.near, self.pressure)).min(t.near.len());
             let mut of = t.near[..near].to_vec();
             of[..home.min(near)].rotate_left((drawn % home.max(1)).min(near));
-            best = scan(&of).or_else(|| scan(&t.far[..far]));
+            best = scan(&t, &of);
+            if best.is_none() {
+                self.order_far(&mut t, key, kind, roams);
+                let far = self.width(&t.far, HIGH_PRESSURE);
+                best = scan(&t, &t.far[..far]);
+            }
             t.workers.extend(best);
         }
         // All seem Full: the shortest queue of T[key] and as many next in its order, so that overload does
@@ -98,6 +103,9 @@
         // Where it would start too late, a worker beyond the key's own that would not is worth a fetch.
         let late = |id: WorkerId| self.fleet.get(id).map_or(1.0, |w| self.late_chance(w, job));
         let full = best.is_none_or(|id| late(id) > LATE);
+        if full {
+            self.order_far(&mut t, key, kind, roams);
+        }
         if full && !job.over_share {
             let all = t.near.iter().chain(&t.far).copied().filter(fits).map(|id| (late(id), id));
             let mut other: Vec<_> = all.filter(|o| o.0 <= HEDGE_MOST_LATE).collect();
@@ -128,10 +136,12 @@
     fn entry(&mut self, key: KeyHash, kind: Option<KindId>, all: bool) -> (Assigned, f64) {
         let mut t = self.table.remove(&key).unwrap_or_default();
         let version = (self.fleet.version(key, kind), self.reserved_version);
-        if t.version != version {
+        if t.near_version != version {
             t.near = self.order(key, kind, (!all).then_some(true));
-            t.far = if all { Vec::new() } else { self.order(key, kind, Some(false)) };
-            t.version = version;
+            t.near_version = version;
+        }
+        if t.workers.iter().any(|id| !t.near.contains(id)) {
+            self.order_far(&mut t, key, kind, all);
         }
         let demand = t.demand.add(self.now, KEY_MEMORY, 0.0) * self.per_second_of_all();
         let mut room = demand;
@@ -146,6 +156,15 @@
         (t, part)
     }
 
+    /// Brings T[key]'s order of other zones up to date.
+    fn order_far(&self, t: &mut Assigned, key: KeyHash, kind: Option<KindId>, all: bool) {
+        let version = (self.fleet.version(key, kind), self.reserved_version);
+        if t.far_version != version {
+            t.far = if all { Vec::new() } else { self.order(key, kind, Some(false)) };
+            t.far_version = version;
+        }
+    }
+
     /// Weighted rendezvous order of key and worker name: every dispatcher finds the same one without talk.
     fn order(&self, key: KeyHash, kind: Option<KindId>, near: Option<bool>) -> Vec<WorkerId> {
         let weight = |candidate: &Candidate| {
--- a/crates/decisions/src/worker.rs
+++ b/crates/decisions/src/worker.rs
@@ -50,14 +50,19 @@
     }
 }
 
+/// Of a key's candidates, near ones and others, and of the reserved parts: what an order was made from.
+pub type OrderVersion = ((u64, u64), u64);
+
 /// The paper's T[key], and what decides its size.
 #[derive(Default)]
 pub struct Assigned {
     pub workers: Vec<WorkerId>,
-    /// The first eligible workers in the key's stable order, near ones and others, as of `version`.
+    /// The first eligible workers of the own zone in the key's stable order, as of `near_version`.
     pub near: Vec<WorkerId>,
+    pub near_version: OrderVersion,
+    /// Those of other zones, as of `far_version`: most jobs never need them.
     pub far: Vec<WorkerId>,
-    pub version: ((u64, u64), u64),
+    pub far_version: OrderVersion,
     /// Slot-seconds served to this dispatcher: what clients repeat after refusals must not count.
     pub demand: Faded,
 }
