--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -227,7 +227,7 @@
         w.learned_slots.unwrap_or(PAPER_FULL) * w.warmth(&self.settings.rules, self.now)
     }
 
-    /// Whether so many share the fleet that each sees but a sliver of a worker's jobs, and on_note of it seldom.
+    /// Whether so many share the fleet that each sees but a sliver of a worker's jobs, and hears of it seldom.
     pub(crate) fn shared(&self) -> bool {
         self.settings.balancers > PROBERS
     }
