--- a/crates/decisions/src/health.rs
+++ b/crates/decisions/src/health.rs
@@ -17,7 +17,7 @@
 pub(crate) const OWN_SMOOTH: Span = Span(1_000_000);
 /// The queue that is likely behind a report of no free slots, as a part of the slots.
 const HIDDEN_QUEUE: f64 = 0.3;
-/// Age of news that says nothing: where many share a fleet, each on_note of a worker seldom.
+/// Age of news that says nothing: where many share a fleet, each hears of a worker seldom.
 pub(crate) const STALE_AFTER: Span = Span(2_000_000);
 /// A job that has not started after this waits in a queue: no slot is free there.
 pub(crate) const QUEUED_AFTER: Span = Span(60_000);
--- a/crates/rig/src/ways.rs
+++ b/crates/rig/src/ways.rs
@@ -127,6 +127,17 @@
         });
         sends + news.min(TOLD_WITHIN)
     }
+
+    /// The longest that links hold up a request, or the end of its connection, between a client and a log worker. What is
+    /// on a link that is cut or slow comes at the latest when that is over.
+    pub fn most_transit(&self) -> Span {
+        let carries_requests = |one: &&Disturbance| one.to != Party::Discovery;
+        self.all.iter().filter(carries_requests).fold(Span(0), |sum, one| {
+            let Faults { delay, jitter, cut, rate, .. } = one.there;
+            let held = if cut || rate > 0.0 { one.length } else { Span(0) };
+            sum + delay + jitter + held
+        })
+    }
 }
 
 /// Two sets of faults at once.
