Discovery: log each version taken, and tell unusable answers from an unreachable service

Each version is now one line with its number, entries and scope; a failed call names the version held and the calls that failed in a row; an answer that came and cannot be used is an error line and counts in lists_unusable. Nothing else changes: such an answer is still treated as a failed call.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -29,7 +29,7 @@
 use tower::Service;
 
 use request::{BadRequest, Facts, Head, OpenId, OpenIds};
-use resolver::{Order, Resolver, ResolverResult};
+use resolver::{Failure, Order, Resolver, ResolverResult};
 use rookspoke_config::{Config, ListSource, Target, Update};
 use rookspoke_decisions::{
     Ban, ClassId, Discovery, Effect, ListScope, Listing, Name, Note, Outcome, Readiness, RequestId,
@@ -585,7 +585,12 @@
                         handle.list(scope, entries).await;
                         ready.send_replace(true);
                     }
-                    ResolverResult::Failed => handle.list(ListScope::Failed, Arc::new([])).await,
+                    ResolverResult::Failed(failure) => {
+                        if failure == Failure::Unusable {
+                            handle.counters().lists_unusable.add();
+                        }
+                        handle.list(ListScope::Failed, Arc::new([])).await;
+                    }
                     ResolverResult::Moved => handle.list(ListScope::Moved, Arc::new([])).await,
                     ResolverResult::Silent(since) => {
                         let since = clock.at(since);
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -43,13 +43,22 @@
     /// News of the list.
     Update(ListScope, Arc<Update>),
     /// The call failed or the watch broke.
-    Failed,
+    Failed(Failure),
     /// The watch was given up; its last word came then.
     Silent(Instant),
     /// What comes from now on comes from elsewhere.
     Moved,
 }
 
+/// What a failed call says of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It could not be reached, refused, or broke off: asked again, it may answer.
+    Unavailable,
+    /// It answered, and the answer cannot be taken: asked again, it may well say the same.
+    Unusable,
+}
+
 /// Why a call to discovery failed.
 #[derive(Debug, Error)]
 enum CallError {
@@ -73,6 +82,17 @@
     Ended,
 }
 
+impl CallError {
+    fn failure(&self) -> Failure {
+        match self {
+            CallError::TooLong | CallError::Line(LineError::TooLong) | CallError::Unreadable(_) => {
+                Failure::Unusable
+            }
+            _ => Failure::Unavailable,
+        }
+    }
+}
+
 /// What a resolver is asked to do.
 #[derive(Clone, Debug)]
 pub enum Order {
@@ -152,11 +172,23 @@
                 }
                 Ok(done) => {
                     if let Err(error) = done {
-                        tracing::info!("discovery: {error}");
                         self.failed = self.failed.saturating_add(1);
+                        let (version, failed) = (self.rev, self.failed);
+                        match error.failure() {
+                            Failure::Unavailable => {
+                                tracing::info!(?version, failed, "discovery: {error}");
+                            }
+                            Failure::Unusable => {
+                                tracing::error!(
+                                    ?version,
+                                    failed,
+                                    "discovery: its answer cannot be used: {error}"
+                                );
+                            }
+                        }
                         tell(match error {
                             CallError::Silent(since) => ResolverResult::Silent(since),
-                            _ => ResolverResult::Failed,
+                            error => ResolverResult::Failed(error.failure()),
                         })
                         .await;
                     }
@@ -225,10 +257,11 @@
         Fut: Future<Output = ()>,
     {
         let scope = if update.all { ListScope::Complete } else { ListScope::Changes };
-        let rev = update.rev;
+        let (rev, entries) = (update.rev, update.targets.len());
         tell(ResolverResult::Update(scope, Arc::new(update))).await;
         // Not before: what an order cuts off here is told again.
         (self.rev, self.failed) = (Some(rev), 0);
+        tracing::info!(version = rev, entries, ?scope, "discovery: a list is taken");
     }
 }
 
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -84,6 +84,8 @@
     lists,
     /// Calls to discovery that failed, and watches that broke.
     lists_failed,
+    /// Among the failed: answers of discovery that came and could not be used.
+    lists_unusable,
 }
 
 /// A class's final answers.
