Tests, red: drains in changes of over 64 KiB, first lists of 3,200, one bad entry

Seen on the release that broke: jobs go on to a log worker that was told to drain in a change of 1,600 or 3,200 entries, for the 2.5 s that are watched; a process never becomes ready with a first list of 3,200 on one line; one unreadable entry has the same effect as a long line. Changes of 400 and 480 entries hold.

--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -555,7 +555,8 @@
 pub struct Discovery {
     pub address: SocketAddr,
     news: Arc<Mutex<Vec<mpsc::Sender<String>>>>,
-    list: Arc<Mutex<Vec<Value>>>,
+    /// The whole list, as a watch is first told it.
+    first: Arc<Mutex<String>>,
     pub watches: Arc<AtomicU32>,
     /// Watches that have not ended, as far as has been noticed.
     pub open: Arc<AtomicU32>,
@@ -566,12 +567,12 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let address = listener.local_addr().expect("an address");
         let news: Arc<Mutex<Vec<mpsc::Sender<String>>>> = Arc::default();
-        let (list, watches) = (Arc::new(Mutex::new(list)), Arc::new(AtomicU32::new(0)));
+        let (first, watches) = (Arc::new(Mutex::new(whole_list(&list))), Arc::new(AtomicU32::new(0)));
         let open = Arc::new(AtomicU32::new(0));
         let discovery = Discovery {
             address,
             news: news.clone(),
-            list: list.clone(),
+            first: first.clone(),
             watches: watches.clone(),
             open: open.clone(),
         };
@@ -580,9 +581,9 @@
                 let (sender, told) = mpsc::channel();
                 // Listed before it is counted: what is told after the count is not missed.
                 let first = {
-                    let list = list.lock().expect("the list");
+                    let first = first.lock().expect("the list");
                     news.lock().expect("watches").push(sender);
-                    json!({"rev": 1, "all": true, "targets": *list}).to_string()
+                    first.clone()
                 };
                 watches.fetch_add(1, Ordering::SeqCst);
                 open.fetch_add(1, Ordering::SeqCst);
@@ -615,8 +616,17 @@
     }
 
     pub fn set(&self, list: Vec<Value>) {
-        *self.list.lock().expect("the list") = list;
+        self.set_text(&whole_list(&list));
     }
+
+    /// The whole list in this form, without the end of its last line.
+    pub fn set_text(&self, list: &str) {
+        *self.first.lock().expect("the list") = list.to_owned();
+    }
+}
+
+fn whole_list(entries: &[Value]) -> String {
+    json!({"rev": 1, "all": true, "targets": entries}).to_string()
 }
 
 fn watch(mut stream: TcpStream, first: String, told: &mpsc::Receiver<String>) {
--- /dev/null
+++ b/crates/rookspoke/tests/large_lists.rs
@@ -0,0 +1,148 @@
+//! Lists of large fleets: complete ones and changes, by size and by form.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::world::*;
+use serde_json::{json, Value};
+
+/// What a dispatcher may go on sending after it was told of a drain, and what the rules on sockets add.
+const DRAIN_GRACE: Duration = Duration::from_millis(550);
+/// For how long jobs are sent after the grace.
+const WATCHED: Duration = Duration::from_millis(2_500);
+/// The most log workers that a fleet has.
+const LARGEST: usize = 3_200;
+
+/// So many entries of log workers that drain, for which a list is as long as it is.
+fn draining(count: usize) -> Vec<Value> {
+    let nowhere: SocketAddr = ([127, 0, 0, 1], 9).into();
+    let name = |n: usize| format!("s-{:08x}", (n as u32).wrapping_mul(0x9e37_79b1));
+    let entry = |n: usize| {
+        let mut entry = entry(&name(n), nowhere, "leaving");
+        entry["boot_ms"] = 1_796_162_400_000_u64.into();
+        entry
+    };
+    (0..count).map(entry).collect()
+}
+
+fn whole(entries: &[Value]) -> Value {
+    json!({"rev": 1, "all": true, "targets": entries})
+}
+
+fn change(entries: &[Value]) -> Value {
+    json!({"rev": 2, "all": false, "targets": entries})
+}
+
+/// Sends jobs until `until`, each of which has to be served.
+fn serves_until(http: SocketAddr, until: Instant) {
+    for id in 1.. {
+        if Instant::now() >= until {
+            return;
+        }
+        let answer = ask(http, &post("log-lookup", &format!("{id:016x}"), 9_000, ""));
+        assert_eq!(answer.status, 200, "job {id}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A log worker is told to drain in a change of so many entries; nothing new goes there once the grace is over.
+fn drains_in_a_change_of(entries: usize) {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let discovery = Discovery::of(&[&one, &two]);
+    let daemon = Daemon::over(&discovery);
+    let http = daemon.address("http");
+    serves_until(http, Instant::now() + Duration::from_millis(500));
+    let mut changed = draining(entries - 1);
+    changed.push(one.entry("leaving"));
+    let mut list = changed.clone();
+    list.push(two.entry("active"));
+    discovery.set(list);
+    let told = Instant::now();
+    discovery.say(&change(&changed).to_string());
+    serves_until(http, told + DRAIN_GRACE);
+    let before = one.count();
+    serves_until(http, told + DRAIN_GRACE + WATCHED);
+    assert_eq!(
+        one.count() - before,
+        0,
+        "jobs sent to a draining log worker, of a change of {entries} entries"
+    );
+    assert!(two.count() > 0, "{entries} entries");
+}
+
+#[test]
+fn no_job_goes_to_a_log_worker_that_drains_in_a_change_of_over_64_kib() {
+    std::thread::scope(|scope| {
+        let sizes =
+            [400, 480, 1_600, LARGEST].map(|size| (size, scope.spawn(move || drains_in_a_change_of(size))));
+        let failed: Vec<_> =
+            sizes.into_iter().filter_map(|(size, play)| play.join().err().map(|_| size)).collect();
+        assert!(failed.is_empty(), "changes of {failed:?} entries");
+    });
+}
+
+/// A process that knows no list starts with one in this form.
+fn starts_with(form: &str, list: &str, worker: &Worker) {
+    let discovery = Discovery::start(Vec::new());
+    discovery.set_text(list);
+    let daemon = Daemon::start(&config(discovery.address), None);
+    let started = Instant::now();
+    let http = daemon.address("http");
+    while get(http, "/health/ready").status != 200 {
+        assert!(started.elapsed() < Duration::from_secs(10), "not ready with a list that is {form}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let answer = ask(http, &post("log-lookup", "0000000000000001", 9_000, ""));
+    assert_eq!((answer.status, worker.count()), (200, 1), "a list that is {form}");
+    assert_eq!(daemon.counters("http").contains(" lists_failed=0 "), true, "a list that is {form}");
+}
+
+#[test]
+fn a_process_is_ready_within_10_s_with_a_first_list_of_3200() {
+    let list = |worker: &Worker| {
+        let mut entries = draining(LARGEST - 1);
+        entries.push(worker.entry("active"));
+        entries
+    };
+    let compact = |entries: &[Value]| whole(entries).to_string();
+    let indented = |entries: &[Value]| serde_json::to_string_pretty(&whole(entries)).expect("JSON");
+    // Each entry on a line of its own, which ends as the object does.
+    let comma_first = |entries: &[Value]| {
+        let lines: Vec<String> = entries.iter().map(Value::to_string).collect();
+        format!("{{\"rev\":1,\"all\":true,\"targets\":[{}\n]}}", lines.join("\n,"))
+    };
+    std::thread::scope(|scope| {
+        let forms: [(&str, &(dyn Fn(&[Value]) -> String + Sync)); 3] =
+            [("on one line", &compact), ("indented", &indented), ("an entry to a line", &comma_first)];
+        let plays = forms.map(|(form, write)| {
+            let play = scope.spawn(move || {
+                let worker = Worker::serving("w-1");
+                starts_with(form, &write(&list(&worker)), &worker);
+            });
+            (form, play)
+        });
+        let failed: Vec<_> =
+            plays.into_iter().filter_map(|(form, play)| play.join().err().map(|_| form)).collect();
+        assert!(failed.is_empty(), "{failed:?}");
+    });
+}
+
+#[test]
+fn one_unreadable_entry_leaves_the_rest_of_a_change_in_force() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let discovery = Discovery::of(&[&one, &two]);
+    let daemon = Daemon::over(&discovery);
+    let http = daemon.address("http");
+    let mut unreadable = entry("w-3", one.address, "leaving");
+    unreadable["endpoint"] = "nowhere".into();
+    let changed = [unreadable, one.entry("leaving")];
+    discovery.set([&changed[..], &[two.entry("active")]].concat());
+    let told = Instant::now();
+    discovery.say(&change(&changed).to_string());
+    serves_until(http, told + DRAIN_GRACE);
+    let before = one.count();
+    serves_until(http, told + DRAIN_GRACE + WATCHED);
+    assert_eq!(one.count() - before, 0, "jobs sent to a draining log worker");
+}
