Discovery: read objects of any list's size; 64 KiB was the bound of a job's body

Callers saw jobs run on log workers that had been told to drain, for seconds, in fleets of thousands.

Cause: the resolver split discovery's answers with the line reader of job answers, whose bound of 64 KiB is the protocol's for a job's body. A change of some 450 entries on one line is longer. The watch then ended as if discovery had failed, the old list was gone by for up to 6 s, and each call anew brought the same or more. A first list on one line could never be taken.

Change: objects end with their last brace, found by looking at each byte once, so that neither their lines nor their pieces matter, and are as long as a list may be: 8 MiB, the bound of the configuration's list, now one constant for both. An object that ends each of its lines in a brace is no longer parsed anew at each of them.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod grpc;
 mod lines;
+mod list_stream;
 mod report;
 mod request;
 pub mod resolver;
--- a/crates/channel/src/lines.rs
+++ b/crates/channel/src/lines.rs
@@ -1,4 +1,4 @@
-//! Bodies that hold one object to a line, as bytes, bounded.
+//! Answers of log workers, which hold one object to a line, as bytes; bounded as all bodies of jobs are.
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
--- /dev/null
+++ b/crates/channel/src/list_stream.rs
@@ -0,0 +1,189 @@
+//! Splits what discovery writes into its objects, wherever the pieces and the lines of it end.
+
+use bytes::{Bytes, BytesMut};
+use http_body::Body;
+use http_body_util::BodyExt;
+use memchr::memchr2;
+use rookspoke_config::MAX_LIST_BYTES;
+use thiserror::Error;
+
+/// Why an answer of discovery cannot be split into objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SplitError {
+    /// An object that is longer than any list may be.
+    #[error("found an object of over {MAX_LIST_BYTES} bytes, expected a list that is shorter")]
+    TooLong,
+    /// Something that begins no object.
+    #[error("found byte {0:#04x} between objects, expected an object or an empty line")]
+    NoObject(u8),
+    /// Discovery has nothing to tell, though it has not ended what it was telling.
+    #[error("found an empty line within an object, expected its end first")]
+    CutOff,
+}
+
+/// What discovery says at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Item {
+    /// An empty line: nothing has changed.
+    Heartbeat,
+    /// The text of one object.
+    Object(Bytes),
+}
+
+/// Splits bytes into items. Each byte is looked at once, and no more than one object and one piece are held.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    /// What has come and was not given out; within an object it begins with that.
+    held: BytesMut,
+    /// How much of the object that has begun has been looked at.
+    scanned: usize,
+    /// Brackets and braces that are open at `scanned`; none between objects.
+    depth: usize,
+    in_string: bool,
+    /// The line on which `held` begins has held an object.
+    line_has_object: bool,
+}
+
+impl Splitter {
+    /// Adds what has come.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// Whether an object has begun and not ended, as far as has been looked at.
+    pub fn is_within_object(&self) -> bool {
+        self.depth > 0
+    }
+
+    /// The next item that is whole.
+    ///
+    /// # Errors
+    /// Says what stands where no item can; nothing can be read on from there.
+    pub fn next_item(&mut self) -> Result<Option<Item>, SplitError> {
+        if self.depth == 0 {
+            if let Some(heartbeat) = self.skip_to_object()? {
+                return Ok(Some(heartbeat));
+            }
+        }
+        if self.depth == 0 || !self.scan_object()? {
+            return Ok(None);
+        }
+        self.line_has_object = true;
+        let object = self.held.split_to(self.scanned).freeze();
+        self.scanned = 0;
+        Ok(Some(Item::Object(object)))
+    }
+
+    /// Drops what stands before the next object and enters it; stops at an empty line.
+    fn skip_to_object(&mut self) -> Result<Option<Item>, SplitError> {
+        for at in 0..self.held.len() {
+            match self.held[at] {
+                b'\n' if !self.line_has_object => {
+                    self.drop_first(at + 1);
+                    return Ok(Some(Item::Heartbeat));
+                }
+                b'\n' => self.line_has_object = false,
+                byte if byte.is_ascii_whitespace() => {}
+                b'{' => {
+                    self.drop_first(at);
+                    (self.depth, self.scanned) = (1, 1);
+                    return Ok(None);
+                }
+                byte => return Err(SplitError::NoObject(byte)),
+            }
+        }
+        self.held.clear();
+        Ok(None)
+    }
+
+    fn drop_first(&mut self, count: usize) {
+        let _ = self.held.split_to(count);
+    }
+
+    /// Looks for the end of the object that has begun, up to which all is scanned then.
+    fn scan_object(&mut self) -> Result<bool, SplitError> {
+        while self.depth > 0 && self.scanned < self.held.len() {
+            if self.in_string {
+                self.scan_string();
+                continue;
+            }
+            match self.held[self.scanned] {
+                b'"' => self.in_string = true,
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth -= 1,
+                b'\n' if self.is_line_empty() => return Err(SplitError::CutOff),
+                _ => {}
+            }
+            self.scanned += 1;
+        }
+        if self.scanned > MAX_LIST_BYTES {
+            return Err(SplitError::TooLong);
+        }
+        Ok(self.depth == 0)
+    }
+
+    /// Goes on to the end of the string, or past the next escape, whose second byte may not be here yet.
+    fn scan_string(&mut self) {
+        match memchr2(b'"', b'\\', &self.held[self.scanned..]) {
+            Some(at) if self.held[self.scanned + at] == b'"' => {
+                self.in_string = false;
+                self.scanned += at + 1;
+            }
+            Some(at) => self.scanned += at + 2,
+            None => self.scanned = self.held.len(),
+        }
+    }
+
+    /// Whether nothing stands on the line that ends at `scanned`.
+    fn is_line_empty(&self) -> bool {
+        let before = self.held[..self.scanned].iter().rev();
+        before.take_while(|byte| **byte != b'\n').all(u8::is_ascii_whitespace)
+    }
+}
+
+/// Why nothing more can be read of an answer.
+#[derive(Debug, Error)]
+pub enum StreamError {
+    /// The connection broke.
+    #[error("the connection broke: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The answer ended within an object.
+    #[error("the answer ended within an object")]
+    EndedWithin,
+    /// What came makes no sense.
+    #[error("{0}")]
+    Split(#[from] SplitError),
+}
+
+/// The body of an answer of discovery, item by item.
+pub struct ListStream<B> {
+    body: B,
+    splitter: Splitter,
+}
+
+impl<B: Body<Data = Bytes, Error = hyper::Error> + Unpin> ListStream<B> {
+    /// A stream over this body.
+    pub fn new(body: B) -> Self {
+        ListStream { body, splitter: Splitter::default() }
+    }
+
+    /// The next item; none at the end of the body.
+    ///
+    /// # Errors
+    /// Says why nothing more can be read. Dropped while it waits, it loses nothing.
+    pub async fn next(&mut self) -> Result<Option<Item>, StreamError> {
+        loop {
+            if let Some(item) = self.splitter.next_item()? {
+                return Ok(Some(item));
+            }
+            match self.body.frame().await.transpose()? {
+                Some(frame) => self.splitter.push(frame.data_ref().map_or(&[], |data| data)),
+                None if self.splitter.is_within_object() => return Err(StreamError::EndedWithin),
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::lines::{LineError, Lines};
+use super::list_stream::{Item, ListStream, StreamError};
 use super::stream::Stream;
 use rookspoke_config::{ListSource, Update};
 use rookspoke_decisions::ListScope;
@@ -30,8 +30,6 @@
 /// A watch brings at least an empty line every 2 s; one silent for longer is dead, whatever TCP says. What it missed
 /// counts 6 s after its last word, and a new one takes up to 2 s of them.
 const SILENCE: Duration = Duration::from_millis(2500);
-/// The most that one object holds over all its lines, in bytes.
-const MAX_OBJECT: usize = 1024 * 1024;
 /// What had come before a watch's time was up is read within this.
 const UNREAD: Duration = Duration::from_millis(50);
 
@@ -72,10 +70,8 @@
     NoAnswer(#[from] tokio::time::error::Elapsed),
     #[error("the watch was silent for {:?}", .0.elapsed())]
     Silent(Instant),
-    #[error("an object of more than {MAX_OBJECT} bytes")]
-    TooLong,
     #[error("{0}")]
-    Line(#[from] LineError),
+    Stream(#[from] StreamError),
     #[error("unreadable: {0}")]
     Unreadable(#[from] serde_json::Error),
     #[error("the watch ended")]
@@ -85,9 +81,7 @@
 impl CallError {
     fn failure(&self) -> Failure {
         match self {
-            CallError::TooLong | CallError::Line(LineError::TooLong) | CallError::Unreadable(_) => {
-                Failure::Unusable
-            }
+            CallError::Stream(StreamError::Split(_)) | CallError::Unreadable(_) => Failure::Unusable,
             _ => Failure::Unavailable,
         }
     }
@@ -203,9 +197,10 @@
         F: Fn(ResolverResult) -> Fut,
         Fut: Future<Output = ()>,
     {
-        let (_connection, lines) = timeout(self.patience(), call(address, PATH)).await??;
-        let all = timeout(CALL_TIMEOUT, lines.all()).await??;
-        self.pass_on(serde_json::from_slice(&all)?, tell).await;
+        let (_connection, mut stream) = timeout(self.patience(), call(address, PATH)).await??;
+        let item = timeout(CALL_TIMEOUT, stream.next()).await??;
+        let Some(Item::Object(object)) = item else { return Err(CallError::Ended) };
+        self.pass_on(serde_json::from_slice(&object)?, tell).await;
         Ok(())
     }
 
@@ -215,24 +210,25 @@
         Fut: Future<Output = ()>,
     {
         let path = format!("{PATH}?watch=1&after={}", self.rev.unwrap_or(0));
-        let (_connection, mut lines) = timeout(self.patience(), call(address, &path)).await??;
-        let (mut object, mut heard) = (Vec::new(), None);
+        let (_connection, mut stream) = timeout(self.patience(), call(address, &path)).await??;
+        let mut heard = None;
         loop {
-            let line = match timeout(SILENCE, lines.next()).await {
-                Ok(line) => line,
+            let item = match timeout(SILENCE, stream.next()).await {
+                Ok(item) => item,
                 // Stopped for longer than that, this process wakes with its time up and news unread.
-                Err(_) => match (timeout(UNREAD, lines.next()).await, heard) {
-                    (Ok(line), _) => line,
+                Err(_) => match (timeout(UNREAD, stream.next()).await, heard) {
+                    (Ok(item), _) => item,
                     // A head alone is no word of the list: the call failed.
                     (Err(late), None) => return Err(late.into()),
                     (Err(_), Some(since)) => return Err(CallError::Silent(since)),
                 },
             };
-            let line = match (line, heard) {
-                (Ok(Some(line)), _) => line,
+            let item = match (item, heard) {
+                (Ok(Some(item)), _) => item,
+                (Err(error @ StreamError::Split(_)), _) => return Err(error.into()),
                 // It may have broken long before this process came to see it.
                 (_, Some(since)) if since.elapsed() > SILENCE => return Err(CallError::Silent(since)),
-                (line, _) => line?.ok_or(CallError::Ended)?,
+                (item, _) => item?.ok_or(CallError::Ended)?,
             };
             let now = Instant::now();
             let first = heard.replace(now).is_none();
@@ -240,13 +236,13 @@
             if first {
                 tracing::info!("discovery: a watch is open");
             }
-            match (add(&mut object, &line)?, self.rev) {
-                (Some(update), _) => self.pass_on(update, tell).await,
+            match (item, self.rev) {
+                (Item::Object(object), _) => self.pass_on(serde_json::from_slice(&object)?, tell).await,
                 // Nothing has changed since the version held: that is news of a list that had been in doubt.
-                (None, Some(rev)) if first && object.is_empty() => {
+                (Item::Heartbeat, Some(rev)) if first => {
                     self.pass_on(Update { rev, all: false, targets: Vec::new() }, tell).await;
                 }
-                (None, _) => {}
+                (Item::Heartbeat, _) => {}
             }
         }
     }
@@ -265,30 +261,6 @@
     }
 }
 
-/// Adds a line to an object, which may be spread over many; gives the object once it is whole.
-fn add(object: &mut Vec<u8>, line: &[u8]) -> Result<Option<Update>, CallError> {
-    let blank = line.iter().all(u8::is_ascii_whitespace);
-    if blank && object.is_empty() {
-        return Ok(None);
-    }
-    object.extend_from_slice(line);
-    if object.len() > MAX_OBJECT {
-        return Err(CallError::TooLong);
-    }
-    // An object's last line ends so: the others need not be tried. An empty one is said between objects only.
-    let open = object.trim_ascii_start().starts_with(b"{") && !line.trim_ascii_end().ends_with(b"}");
-    if open && !blank {
-        return Ok(None);
-    }
-    match serde_json::from_slice(object) {
-        Err(error) if error.is_eof() && !blank => Ok(None),
-        update => {
-            object.clear();
-            Ok(Some(update?))
-        }
-    }
-}
-
 /// Ends a connection's task, and with it the connection.
 pub(super) struct ConnectionTask(pub tokio::task::JoinHandle<()>);
 
@@ -298,7 +270,7 @@
     }
 }
 
-async fn call(address: SocketAddr, path: &str) -> Result<(ConnectionTask, Lines<Incoming>), CallError> {
+async fn call(address: SocketAddr, path: &str) -> Result<(ConnectionTask, ListStream<Incoming>), CallError> {
     let stream = Stream::connect(address).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = ConnectionTask(tokio::spawn(async move {
@@ -308,7 +280,7 @@
     let request = request.body(Empty::<Bytes>::new()).expect("a path and an address make a request");
     let response = sender.send_request(request).await?;
     match response.status().as_u16() {
-        200 => Ok((task, Lines::new(response.into_body()))),
+        200 => Ok((task, ListStream::new(response.into_body()))),
         status => Err(CallError::Status(status)),
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,7 +14,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-pub use list::{Target, Update};
+pub use list::{Target, Update, MAX_LIST_BYTES};
 
 /// A field that is missing or makes no sense.
 #[derive(Debug, Error)]
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -5,6 +5,9 @@
 use rookspoke_decisions::{Listing, Readiness, Time};
 use serde::Deserialize;
 
+/// The most that a list holds in any form, in bytes: room for twenty thousand log workers, six times the largest fleet.
+pub const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
+
 /// What discovery says at once: the whole list, or what changed.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Update {
--- a/crates/rookspoke/src/setup.rs
+++ b/crates/rookspoke/src/setup.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use rookspoke_conf::{compile, read_bounded, Input, Origin, Override, Problems, Resolved};
-use rookspoke_config::{Config, ConfigError, Resources};
+use rookspoke_config::{Config, ConfigError, Resources, MAX_LIST_BYTES};
 use rookspoke_faktory::FaktoryConfig;
 use serde::Deserialize;
 use serde_json::Value;
@@ -17,8 +17,8 @@
 const OURS: &str = "deploy/rookspoke.conf";
 /// What it was before.
 const FORMER: &str = "deploy/faktory.toml";
-/// The most that the platform's JSON may hold, in bytes: room for a list of twenty thousand log workers.
-const MAX_JSON: u64 = 8 * 1024 * 1024;
+/// The most that the platform's JSON may hold, in bytes: the list last known, and room for the settings.
+const MAX_JSON: u64 = MAX_LIST_BYTES as u64 + 1024 * 1024;
 
 /// Why there is no configuration.
 #[derive(Debug, Error)]
--- a/crates/rookspoke/tests/large_lists.rs
+++ b/crates/rookspoke/tests/large_lists.rs
@@ -83,6 +83,9 @@
     });
 }
 
+/// How a list is written.
+type Form = dyn Fn(&[Value]) -> String + Sync;
+
 /// A process that knows no list starts with one in this form.
 fn starts_with(form: &str, list: &str, worker: &Worker) {
     let discovery = Discovery::start(Vec::new());
@@ -96,7 +99,7 @@
     }
     let answer = ask(http, &post("log-lookup", "0000000000000001", 9_000, ""));
     assert_eq!((answer.status, worker.count()), (200, 1), "a list that is {form}");
-    assert_eq!(daemon.counters("http").contains(" lists_failed=0 "), true, "a list that is {form}");
+    assert!(daemon.counters("http").contains(" lists_failed=0 "), "a list that is {form}");
 }
 
 #[test]
@@ -114,7 +117,7 @@
         format!("{{\"rev\":1,\"all\":true,\"targets\":[{}\n]}}", lines.join("\n,"))
     };
     std::thread::scope(|scope| {
-        let forms: [(&str, &(dyn Fn(&[Value]) -> String + Sync)); 3] =
+        let forms: [(&str, &Form); 3] =
             [("on one line", &compact), ("indented", &indented), ("an entry to a line", &comma_first)];
         let plays = forms.map(|(form, write)| {
             let play = scope.spawn(move || {
