--- /dev/null
+++ b/crates/channel/src/fleet.rs
@@ -0,0 +1,150 @@
+//! The subchannels of all listed log workers, and the core's transport over them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tower::Service;
+
+use super::resolver::Order;
+use super::subchannel::{lock, Call, Shared, Subchannel};
+use rookspoke_config::Update;
+use rookspoke_decisions::{Ban, ListScope, Name, Outcome, Readiness};
+use rookspoke_dispatch::{CallAttempt, Ended, Probed, Transport};
+
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Every subchannel, by the name of its log worker.
+#[derive(Clone)]
+pub struct Fleet {
+    pub shared: Arc<Shared>,
+    subchannels: Arc<std::sync::Mutex<BTreeMap<Name, Subchannel>>>,
+    /// Taken out by hand, listed or not.
+    banned: Arc<std::sync::Mutex<BTreeSet<Name>>>,
+}
+
+impl Fleet {
+    /// Without any log worker yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Fleet { shared, subchannels: Arc::default(), banned: Arc::default() }
+    }
+
+    /// All subchannels.
+    pub fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, Subchannel>> {
+        lock(&self.subchannels)
+    }
+
+    /// Takes out by hand exactly these.
+    pub fn ban(&self, bans: &[Ban]) {
+        let new: BTreeSet<Name> = bans.iter().map(|ban| ban.worker.clone()).collect();
+        let mut banned = lock(&self.banned);
+        self.lock().iter().for_each(|(name, subchannel)| subchannel.set_banned(new.contains(name)));
+        *banned = new;
+    }
+
+    /// The way to one log worker.
+    pub fn get(&self, name: &Name) -> Option<Subchannel> {
+        self.lock().get(name).cloned()
+    }
+
+    /// Takes a list or its changes. What is gone or draining is shut for new work from this moment on,
+    /// before the decisions hear of it.
+    pub fn apply(&self, scope: ListScope, update: &Update) {
+        let banned = lock(&self.banned);
+        let mut subchannels = self.lock();
+        if scope != ListScope::Changes {
+            let named: BTreeSet<&str> = update.targets.iter().map(|t| t.uid.as_str()).collect();
+            subchannels.retain(|name, subchannel| {
+                subchannel.set_ready(false);
+                named.contains(name.as_ref())
+            });
+        }
+        for target in &update.targets {
+            let listing = target.listing();
+            if listing.readiness == Readiness::Gone {
+                if let Some(gone) = subchannels.remove(&listing.worker) {
+                    gone.set_ready(false);
+                }
+                continue;
+            }
+            let name = listing.worker;
+            let new = || Subchannel::new(name.clone(), target.endpoint, self.shared.clone());
+            let epoch = listing.started.map_or(0, |t| t.0 as u64);
+            let ready = listing.readiness == Readiness::InService;
+            let subchannel = subchannels.entry(name.clone()).or_insert_with(new);
+            subchannel.set_banned(banned.contains(&name));
+            subchannel.update(target.endpoint, ready, epoch);
+        }
+    }
+
+    /// Closes idle connections in time, for as long as it is polled.
+    pub async fn sweep(self) {
+        let mut ticks = tokio::time::interval(SWEEP);
+        loop {
+            ticks.tick().await;
+            self.lock().values().for_each(Subchannel::sweep);
+        }
+    }
+}
+
+/// The core's transport over subchannels.
+pub struct Subchannels {
+    pub fleet: Fleet,
+    pub orders: mpsc::Sender<Order>,
+}
+
+impl Subchannels {
+    fn order(&self, order: Order) {
+        // A full queue already holds an order that will ask again.
+        let _ = self.orders.try_send(order);
+    }
+}
+
+impl Transport for Subchannels {
+    type Call = Arc<Call>;
+    type Reply = Bytes;
+
+    fn send(
+        &mut self,
+        attempt: CallAttempt<Arc<Call>>,
+    ) -> impl Future<Output = Ended<Bytes>> + Send + 'static {
+        let subchannel = self.fleet.get(&attempt.worker);
+        async move {
+            match subchannel {
+                Some(mut subchannel) => {
+                    let Ok(ended) = subchannel.call(attempt).await;
+                    ended
+                }
+                None => Outcome::NotSent.into(),
+            }
+        }
+    }
+
+    fn probe(&mut self, worker: Name) -> impl Future<Output = Probed> + Send + 'static {
+        let subchannel = self.fleet.get(&worker);
+        async move {
+            match subchannel {
+                Some(subchannel) => subchannel.probe().await,
+                None => Probed { outcome: Outcome::NotSent, load: None },
+            }
+        }
+    }
+
+    fn watch(&mut self) {
+        self.order(Order::Watch);
+    }
+
+    fn fetch_list(&mut self) {
+        self.order(Order::Fetch);
+    }
+
+    fn close_idle(&mut self, worker: &Name) {
+        if let Some(subchannel) = self.fleet.get(worker) {
+            subchannel.close_idle();
+        }
+    }
+}
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -2,9 +2,11 @@
 //! it are the resolver and a subchannel for each log worker.
 
 mod connection;
+mod fleet;
 mod grpc;
 mod lines;
 mod list_stream;
+mod membership;
 mod report;
 mod request;
 pub mod resolver;
@@ -12,7 +14,6 @@
 mod stream;
 mod subchannel;
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::atomic::Ordering;
@@ -29,19 +30,15 @@
 use tokio::sync::{mpsc, watch, Semaphore};
 use tower::Service;
 
+use fleet::{Fleet, Subchannels};
+use membership::discover;
 use request::{BadRequest, Facts, Head, OpenId, OpenIds};
-use resolver::{Failure, Order, Resolver, ResolverResult};
-use rookspoke_config::{Config, ListSource, Target, Update};
-use rookspoke_decisions::{
-    Ban, ClassId, Discovery, Effect, ListScope, Listing, Name, Note, Outcome, Readiness, RequestId,
-    SettingsError, Span, Time,
-};
-use rookspoke_dispatch::{
-    request_span, Answer, Ask, CallAttempt, Clock, Core, Counters, Ended, Handle, Limits, Probed, Transport,
-};
+use resolver::Order;
+use rookspoke_config::{Config, ListSource};
+use rookspoke_decisions::{Ban, ClassId, Effect, Note, RequestId, SettingsError, Span, Time};
+use rookspoke_dispatch::{request_span, Answer, Ask, Clock, Core, Counters, Handle, Limits};
 use rookspoke_wire::Vocabulary;
-use start_times::StartTimes;
-use subchannel::{lock, Call, Shared, Subchannel, NO_WATCH};
+use subchannel::{Call, Shared, Subchannel, NO_WATCH};
 
 /// The most that a body holds, on any side.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -55,8 +52,6 @@
 const WORKER_PART: f64 = 0.42;
 /// The same of what is shared with another process.
 const SHARED_WORKER_PART: f64 = 0.22;
-/// How often idle connections are looked through.
-const SWEEP: Duration = Duration::from_secs(1);
 /// Idle connections live for this part of the time that log workers leave them: short of it by seconds.
 const IDLE_PART: f64 = 0.7;
 /// A client told nothing else by the decisions is asked to keep away for this long.
@@ -148,7 +143,7 @@
         // until its list is there.
         let _ = orders.try_send(Order::Watch);
         let (set_ready, ready) = watch::channel(false);
-        let fleet = Fleet { shared, subchannels: Arc::default(), banned: Arc::default() };
+        let fleet = Fleet::new(shared);
         let transport = Subchannels { fleet: fleet.clone(), orders: orders.clone() };
         let (settings, seed) = (config.settings.clone(), config.seed);
         let core = core.run(settings, seed, clock, transport);
@@ -419,202 +414,3 @@
 fn millis(ms: f64) -> Duration {
     Duration::from_secs_f64(ms / 1000.0)
 }
-
-/// Every subchannel, by the name of its log worker.
-#[derive(Clone)]
-struct Fleet {
-    shared: Arc<Shared>,
-    subchannels: Arc<std::sync::Mutex<BTreeMap<Name, Subchannel>>>,
-    /// Taken out by hand, listed or not.
-    banned: Arc<std::sync::Mutex<BTreeSet<Name>>>,
-}
-
-impl Fleet {
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, Subchannel>> {
-        lock(&self.subchannels)
-    }
-
-    fn ban(&self, bans: &[Ban]) {
-        let new: BTreeSet<Name> = bans.iter().map(|ban| ban.worker.clone()).collect();
-        let mut banned = lock(&self.banned);
-        self.lock().iter().for_each(|(name, subchannel)| subchannel.set_banned(new.contains(name)));
-        *banned = new;
-    }
-
-    fn get(&self, name: &Name) -> Option<Subchannel> {
-        self.lock().get(name).cloned()
-    }
-
-    /// Takes a list or its changes. What is gone or draining is shut for new work from this moment on,
-    /// before the decisions hear of it.
-    fn apply(&self, scope: ListScope, update: &Update) {
-        let banned = lock(&self.banned);
-        let mut subchannels = self.lock();
-        if scope != ListScope::Changes {
-            let named: BTreeSet<&str> = update.targets.iter().map(|t| t.uid.as_str()).collect();
-            subchannels.retain(|name, subchannel| {
-                subchannel.set_ready(false);
-                named.contains(name.as_ref())
-            });
-        }
-        for target in &update.targets {
-            let listing = target.listing();
-            if listing.readiness == Readiness::Gone {
-                if let Some(gone) = subchannels.remove(&listing.worker) {
-                    gone.set_ready(false);
-                }
-                continue;
-            }
-            let name = listing.worker;
-            let new = || Subchannel::new(name.clone(), target.endpoint, self.shared.clone());
-            let epoch = listing.started.map_or(0, |t| t.0 as u64);
-            let ready = listing.readiness == Readiness::InService;
-            let subchannel = subchannels.entry(name.clone()).or_insert_with(new);
-            subchannel.set_banned(banned.contains(&name));
-            subchannel.update(target.endpoint, ready, epoch);
-        }
-    }
-
-    async fn sweep(self) {
-        let mut ticks = tokio::time::interval(SWEEP);
-        loop {
-            ticks.tick().await;
-            self.lock().values().for_each(Subchannel::sweep);
-        }
-    }
-}
-
-/// The core's transport over subchannels.
-struct Subchannels {
-    fleet: Fleet,
-    orders: mpsc::Sender<Order>,
-}
-
-impl Subchannels {
-    fn order(&self, order: Order) {
-        // A full queue already holds an order that will ask again.
-        let _ = self.orders.try_send(order);
-    }
-}
-
-impl Transport for Subchannels {
-    type Call = Arc<Call>;
-    type Reply = Bytes;
-
-    fn send(
-        &mut self,
-        attempt: CallAttempt<Arc<Call>>,
-    ) -> impl Future<Output = Ended<Bytes>> + Send + 'static {
-        let subchannel = self.fleet.get(&attempt.worker);
-        async move {
-            match subchannel {
-                Some(mut subchannel) => {
-                    let Ok(ended) = subchannel.call(attempt).await;
-                    ended
-                }
-                None => Outcome::NotSent.into(),
-            }
-        }
-    }
-
-    fn probe(&mut self, worker: Name) -> impl Future<Output = Probed> + Send + 'static {
-        let subchannel = self.fleet.get(&worker);
-        async move {
-            match subchannel {
-                Some(subchannel) => subchannel.probe().await,
-                None => Probed { outcome: Outcome::NotSent, load: None },
-            }
-        }
-    }
-
-    fn watch(&mut self) {
-        self.order(Order::Watch);
-    }
-
-    fn fetch_list(&mut self) {
-        self.order(Order::Fetch);
-    }
-
-    fn close_idle(&mut self, worker: &Name) {
-        if let Some(subchannel) = self.fleet.get(worker) {
-            subchannel.close_idle();
-        }
-    }
-}
-
-/// Feeds resolver results to subchannels and decisions. If discovery stays silent at the start, the list
-/// last known has to do.
-fn discover(
-    config: &Config,
-    handle: Handle<Arc<Call>, Bytes>,
-    fleet: Fleet,
-    orders: mpsc::Receiver<Order>,
-    ready: watch::Sender<bool>,
-) -> impl Future<Output = ()> + Send + 'static {
-    let known = config.known.clone();
-    let pushed = config.settings.discovery == Discovery::Automatic;
-    let resolver = Resolver::new(config.source.clone(), known.as_ref().map(|k| k.rev), pushed);
-    let clock = fleet.shared.clock;
-    let ready = Arc::new(ready);
-    async move {
-        // Without any list, too, the decisions must hear of their start: they ask for lists from then on.
-        let start_times = Arc::new(std::sync::Mutex::new(StartTimes::default()));
-        let entries = known.as_ref().map(|known| {
-            fleet.apply(ListScope::Remembered, known);
-            listings(&start_times, ListScope::Remembered, known, clock.now())
-        });
-        handle.list(ListScope::Remembered, entries.unwrap_or_default()).await;
-        if known.is_some() {
-            let ready = ready.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(PATIENCE).await;
-                ready.send_replace(true);
-            });
-        }
-        let tell = |result| {
-            let (handle, fleet, ready) = (handle.clone(), fleet.clone(), ready.clone());
-            let start_times = start_times.clone();
-            async move {
-                match result {
-                    ResolverResult::Word(at) => {
-                        let word = at.map_or(NO_WATCH, |at| clock.at(at).0);
-                        fleet.shared.last_word.store(word, Ordering::Release);
-                    }
-                    ResolverResult::Update(scope, update) => {
-                        fleet.apply(scope, &update);
-                        let entries = listings(&start_times, scope, &update, clock.now());
-                        handle.list(scope, entries).await;
-                        ready.send_replace(true);
-                    }
-                    ResolverResult::Failed(failure) => {
-                        if failure == Failure::Unusable {
-                            handle.counters().lists_unusable.add();
-                        }
-                        handle.list(ListScope::Failed, Arc::new([])).await;
-                    }
-                    ResolverResult::Moved => handle.list(ListScope::Moved, Arc::new([])).await,
-                    ResolverResult::Silent(since) => {
-                        let since = clock.at(since);
-                        handle.list(ListScope::Silent { since }, Arc::new([])).await;
-                    }
-                }
-            }
-        };
-        resolver.run(orders, tell).await;
-    }
-}
-
-/// A list's entries, as the decisions take them.
-fn listings(
-    start_times: &std::sync::Mutex<StartTimes>,
-    scope: ListScope,
-    update: &Update,
-    now: Time,
-) -> Arc<[Listing]> {
-    let mut entries: Vec<Listing> = update.targets.iter().map(Target::listing).collect();
-    lock(start_times).correct(scope, &mut entries, now);
-    entries.into()
-}
-
-/// How long discovery may stay silent at the start before the list last known counts as the first.
-const PATIENCE: Duration = Duration::from_secs(1);
