Discovery: leave out an entry that makes no sense, and take the rest of its list

Callers saw the same as with long lines: jobs run on a log worker that had been told to drain, where another entry of the same change could not be read.

Cause: an object was read as a whole or not at all, the watch ended, and each call anew brought the same bad entry. Change: an object whose text is JSON is read entry by entry if it does not fit as a whole. A listed log worker whose changed entry cannot be read gets nothing new until one can: it may be that it drains. Counted (list_entries_unreadable) and logged with the first place. The list last known is read in the same way where discovery will tell a newer one.

--- a/crates/channel/src/fleet.rs
+++ b/crates/channel/src/fleet.rs
@@ -63,6 +63,12 @@
                 named.contains(name.as_ref())
             });
         }
+        // Nobody knows what was told of these: they are shut as if they drained.
+        for name in update.unreadable.iter().filter_map(|entry| entry.worker.as_ref()) {
+            if let Some(subchannel) = subchannels.get(name) {
+                subchannel.set_ready(false);
+            }
+        }
         for target in &update.targets {
             let listing = target.listing();
             if listing.readiness == Readiness::Gone {
--- a/crates/channel/src/membership.rs
+++ b/crates/channel/src/membership.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,8 +13,8 @@
 use super::start_times::StartTimes;
 use super::subchannel::{lock, Call, NO_WATCH};
 use rookspoke_config::{Config, Target, Update};
-use rookspoke_decisions::{Discovery, ListScope, Listing, Time};
-use rookspoke_dispatch::Handle;
+use rookspoke_decisions::{Discovery, ListScope, Listing, Name, Readiness};
+use rookspoke_dispatch::{Counters, Handle};
 
 /// How long discovery may stay silent at the start before the list last known counts as the first.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -35,11 +35,16 @@
     let ready = Arc::new(ready);
     async move {
         // Without any list, too, the decisions must hear of their start: they ask for lists from then on.
-        let start_times = Arc::new(std::sync::Mutex::new(StartTimes::default()));
-        let entries = known.as_ref().map(|known| {
-            fleet.apply(ListScope::Remembered, known);
-            listings(&start_times, ListScope::Remembered, known, clock.now())
-        });
+        let start_times = Arc::new(Mutex::new(StartTimes::default()));
+        let take = {
+            let (handle, fleet, start_times) = (handle.clone(), fleet.clone(), start_times.clone());
+            move |scope, update: &Update| {
+                report_unreadable(handle.counters(), update);
+                fleet.apply(scope, update);
+                listings(&start_times, &fleet, scope, update)
+            }
+        };
+        let entries = known.as_ref().map(|known| take(ListScope::Remembered, known));
         handle.list(ListScope::Remembered, entries.unwrap_or_default()).await;
         if known.is_some() {
             let ready = ready.clone();
@@ -50,7 +55,7 @@
         }
         let tell = |result| {
             let (handle, fleet, ready) = (handle.clone(), fleet.clone(), ready.clone());
-            let start_times = start_times.clone();
+            let take = take.clone();
             async move {
                 match result {
                     ResolverResult::Word(at) => {
@@ -58,8 +63,7 @@
                         fleet.shared.last_word.store(word, Ordering::Release);
                     }
                     ResolverResult::Update(scope, update) => {
-                        fleet.apply(scope, &update);
-                        let entries = listings(&start_times, scope, &update, clock.now());
+                        let entries = take(scope, &update);
                         handle.list(scope, entries).await;
                         ready.send_replace(true);
                     }
@@ -81,14 +85,43 @@
     }
 }
 
-/// A list's entries, as the decisions take them.
+/// Counts and logs entries that were left out.
+fn report_unreadable(counters: &Counters, update: &Update) {
+    let Some(first) = update.unreadable.first() else { return };
+    let count = update.unreadable.len();
+    counters.list_entries_unreadable.add_many(count);
+    tracing::error!(
+        version = update.rev,
+        count,
+        "discovery: entries that make no sense are left out, such as {first}"
+    );
+}
+
+/// An update's entries, as the decisions take them.
 fn listings(
-    start_times: &std::sync::Mutex<StartTimes>,
+    start_times: &Mutex<StartTimes>,
+    fleet: &Fleet,
     scope: ListScope,
     update: &Update,
-    now: Time,
 ) -> Arc<[Listing]> {
     let mut entries: Vec<Listing> = update.targets.iter().map(Target::listing).collect();
-    lock(start_times).correct(scope, &mut entries, now);
+    if scope == ListScope::Changes {
+        let named = update.unreadable.iter().filter_map(|entry| entry.worker.clone());
+        entries.extend(named.filter(|name| fleet.get(name).is_some()).map(drained));
+    }
+    lock(start_times).correct(scope, &mut entries, fleet.shared.clock.now());
     entries.into()
 }
+
+/// What is done about a log worker of which something unknown was told: nothing new goes there.
+fn drained(worker: Name) -> Listing {
+    Listing {
+        worker,
+        kind: "".into(),
+        zone: "".into(),
+        cell: None,
+        started: None,
+        weight: 1.0,
+        readiness: Readiness::Draining,
+    }
+}
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -200,7 +200,7 @@
         let (_connection, mut stream) = timeout(self.patience(), call(address, PATH)).await??;
         let item = timeout(CALL_TIMEOUT, stream.next()).await??;
         let Some(Item::Object(object)) = item else { return Err(CallError::Ended) };
-        self.pass_on(serde_json::from_slice(&object)?, tell).await;
+        self.pass_on(Update::read(&object)?, tell).await;
         Ok(())
     }
 
@@ -237,10 +237,10 @@
                 tracing::info!("discovery: a watch is open");
             }
             match (item, self.rev) {
-                (Item::Object(object), _) => self.pass_on(serde_json::from_slice(&object)?, tell).await,
+                (Item::Object(object), _) => self.pass_on(Update::read(&object)?, tell).await,
                 // Nothing has changed since the version held: that is news of a list that had been in doubt.
                 (Item::Heartbeat, Some(rev)) if first => {
-                    self.pass_on(Update { rev, all: false, targets: Vec::new() }, tell).await;
+                    self.pass_on(Update::new(rev, false, Vec::new()), tell).await;
                 }
                 (Item::Heartbeat, _) => {}
             }
@@ -253,11 +253,11 @@
         Fut: Future<Output = ()>,
     {
         let scope = if update.all { ListScope::Complete } else { ListScope::Changes };
-        let (rev, entries) = (update.rev, update.targets.len());
+        let (rev, entries, unreadable) = (update.rev, update.targets.len(), update.unreadable.len());
         tell(ResolverResult::Update(scope, Arc::new(update))).await;
         // Not before: what an order cuts off here is told again.
         (self.rev, self.failed) = (Some(rev), 0);
-        tracing::info!(version = rev, entries, ?scope, "discovery: a list is taken");
+        tracing::info!(version = rev, entries, unreadable, ?scope, "discovery: a list is taken");
     }
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,7 +14,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-pub use list::{Target, Update, MAX_LIST_BYTES};
+pub use list::{Target, UnreadableEntry, Update, MAX_LIST_BYTES};
 
 /// A field that is missing or makes no sense.
 #[derive(Debug, Error)]
@@ -144,7 +144,7 @@
         let (settings, words) = parse_settings(pairs.iter().map(String::as_str))
             .map_err(|e| ConfigError::new(format!("settings.{}", e.field), e.found))?;
         let known = file.known.filter(|known| !known.is_null());
-        let known = known.map(|k| Update::deserialize(k).map_err(|e| ConfigError::new("known", e)));
+        let known = known.map(|k| read_known(&k, file.discovery.is_none()));
         let mut known = known.transpose()?;
         let source = match (&file.discovery, known.take_if(|known| known.all && file.discovery.is_none())) {
             (None, Some(list)) => ListSource::Fixed(Arc::new(list)),
@@ -193,6 +193,15 @@
     }
 }
 
+/// The list last known. Where discovery will tell a newer one, an entry that makes no sense is left out; a list that is
+/// fixed has to make sense as a whole.
+fn read_known(value: &Value, fixed: bool) -> Result<Update, ConfigError> {
+    Update::deserialize(value).or_else(|error| {
+        let by_entry = (!fixed).then(|| Update::read(value.to_string().as_bytes()).ok()).flatten();
+        by_entry.ok_or_else(|| ConfigError::new("known", error))
+    })
+}
+
 /// Nested settings as the simulator's pairs, so that one parser reads both.
 fn flatten(settings: &Value) -> Vec<String> {
     let mut pairs = Vec::new();
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
-use rookspoke_decisions::{Listing, Readiness, Time};
+use rookspoke_decisions::{Listing, Name, Readiness, Time};
 use serde::Deserialize;
+use serde_json::value::RawValue;
+use thiserror::Error;
 
 /// The most that a list holds in any form, in bytes: room for twenty thousand log workers, six times the largest fleet.
 pub const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
@@ -17,6 +19,71 @@
     pub all: bool,
     /// The entries.
     pub targets: Vec<Target>,
+    /// Entries that make no sense, and were left out.
+    #[serde(skip)]
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// An entry of a list that makes no sense.
+#[derive(Clone, Debug, Error)]
+#[error("targets[{place}]: {found}")]
+pub struct UnreadableEntry {
+    /// Its place among the entries.
+    pub place: usize,
+    /// The log worker that it names, if it does that much.
+    pub worker: Option<Name>,
+    /// What was found there.
+    pub found: String,
+}
+
+/// An object whose entries have not been read.
+#[derive(Deserialize)]
+struct RawUpdate<'a> {
+    rev: u64,
+    all: bool,
+    #[serde(borrow)]
+    targets: Vec<&'a RawValue>,
+}
+
+/// The name in an entry that makes no sense otherwise.
+#[derive(Deserialize)]
+struct EntryName {
+    uid: String,
+}
+
+impl Update {
+    /// What a list or change of this version holds, if nothing in it is unreadable.
+    pub fn new(rev: u64, all: bool, targets: Vec<Target>) -> Self {
+        Update { rev, all, targets, unreadable: Vec::new() }
+    }
+
+    /// Reads an object in discovery's form. An entry that makes no sense is left out and told of; the others stand.
+    ///
+    /// # Errors
+    /// Says where the object itself makes no sense.
+    pub fn read(text: &[u8]) -> Result<Self, serde_json::Error> {
+        match serde_json::from_slice(text) {
+            // The text is JSON of another shape: it is read entry by entry.
+            Err(error) if error.is_data() => Self::read_by_entry(text),
+            update => update,
+        }
+    }
+
+    fn read_by_entry(text: &[u8]) -> Result<Self, serde_json::Error> {
+        let raw: RawUpdate = serde_json::from_slice(text)?;
+        let mut update = Update::new(raw.rev, raw.all, Vec::with_capacity(raw.targets.len()));
+        for (place, entry) in raw.targets.into_iter().enumerate() {
+            match serde_json::from_str(entry.get()) {
+                Ok(target) => update.targets.push(target),
+                Err(error) => {
+                    let name = serde_json::from_str(entry.get()).ok();
+                    let worker = name.map(|name: EntryName| name.uid.into());
+                    update.unreadable.push(UnreadableEntry { place, worker, found: error.to_string() });
+                }
+            }
+        }
+        Ok(update)
+    }
 }
 
 /// One log worker, as discovery describes it.
@@ -62,3 +129,46 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(uid: &str, state: &str) -> String {
+        format!(r#"{{"uid":"{uid}","endpoint":"127.0.0.1:80","state":"{state}"}}"#)
+    }
+
+    fn text(entries: &[String]) -> String {
+        format!(r#"{{"rev":3,"all":false,"targets":[{}]}}"#, entries.join(","))
+    }
+
+    #[test]
+    fn entries_that_make_no_sense_are_left_out_and_named() {
+        let bad = [
+            entry("w-2", "resting"),
+            entry("w-3", "active").replace("127.0.0.1:80", "nowhere"),
+            entry("w-4", "active").replace("\"uid\"", "\"name\""),
+            "7".into(),
+        ];
+        let all = [&[entry("w-1", "leaving")], &bad[..], &[entry("w-5", "active")]].concat();
+        let update = Update::read(text(&all).as_bytes()).expect("an update");
+        let read: Vec<&str> = update.targets.iter().map(|target| target.uid.as_str()).collect();
+        assert_eq!((update.rev, read), (3, vec!["w-1", "w-5"]));
+        let named = update.unreadable.iter().map(|entry| (entry.place, entry.worker.as_deref()));
+        assert_eq!(named.collect::<Vec<_>>(), [(1, Some("w-2")), (2, Some("w-3")), (3, None), (4, None)]);
+        let first = update.unreadable[0].to_string();
+        assert!(first.starts_with("targets[1]: unknown variant `resting`"), "{first}");
+    }
+
+    #[test]
+    fn objects_that_make_no_sense_are_errors() {
+        for bad in [
+            "{}",
+            r#"{"rev":"x","all":true,"targets":[]}"#,
+            r#"{"rev":1,"all":true,"targets":7}"#,
+            "{\"rev\"",
+        ] {
+            assert!(Update::read(bad.as_bytes()).is_err(), "{bad}");
+        }
+    }
+}
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -86,6 +86,8 @@
     lists_failed,
     /// Among the failed: answers of discovery that came and could not be used.
     lists_unusable,
+    /// Entries of lists that made no sense, and were left out.
+    list_entries_unreadable,
 }
 
 /// A class's final answers.
@@ -191,7 +193,11 @@
 impl Counter {
     /// One more.
     pub fn add(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+        self.add_many(1);
+    }
+    /// So many more.
+    pub fn add_many(&self, count: usize) {
+        self.0.fetch_add(count as u64, Ordering::Relaxed);
     }
     /// The total.
     pub fn get(&self) -> u64 {
--- a/crates/rookspoke/tests/large_lists.rs
+++ b/crates/rookspoke/tests/large_lists.rs
@@ -148,4 +148,35 @@
     let before = one.count();
     serves_until(http, told + DRAIN_GRACE + WATCHED);
     assert_eq!(one.count() - before, 0, "jobs sent to a draining log worker");
+    daemon.wait_counters("http", &["lists=2", "lists_failed=0", "list_entries_unreadable=1"]);
+}
+
+/// What is told of a log worker cannot be read: it may be that it drains.
+#[test]
+fn no_job_goes_to_a_log_worker_whose_entry_became_unreadable() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let discovery = Discovery::of(&[&one, &two]);
+    let daemon = Daemon::over(&discovery);
+    let http = daemon.address("http");
+    let told = Instant::now();
+    discovery.say(&change(&[one.entry("resting")]).to_string());
+    serves_until(http, told + DRAIN_GRACE);
+    let before = one.count();
+    serves_until(http, told + DRAIN_GRACE + Duration::from_millis(500));
+    assert_eq!(one.count(), before, "jobs sent to it");
+    discovery.say(&change(&[one.entry("active"), two.entry("leaving")]).to_string());
+    wait_for("jobs at it again", || {
+        serves_until(http, Instant::now() + Duration::from_millis(50));
+        (one.count() > before).then_some(())
+    });
+}
+
+#[test]
+fn one_unreadable_entry_of_the_list_last_known_keeps_no_process_from_starting() {
+    let worker = Worker::serving("w-1");
+    let mut config = config(([127, 0, 0, 1], 9).into());
+    config["known"] = whole(&[worker.entry("active"), json!({"uid": "w-2"})]);
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    assert_eq!(ask(daemon.address("http"), &post("log-lookup", "01", 5_000, "")).status, 200);
 }
