Discovery: go by no list once a change was told that cannot be read, and ask for all of it

Callers would see jobs run on log workers that drain for up to 6 s, and the same call made anew for the same answer for ever.

Cause: an answer that came and could not be used was taken for a call that failed, which says that nothing changed; the next call asked for the same changes again. Change: a scope of its own (Unusable): the list is trusted until that moment and not beyond, whatever other calls do, until one can be read; attempts on their way to a connection stop, too. The next call asks for the whole list. Ruled out: keeping to the old list for the 6 s of a failed call. It breaks the rule on drains by itself.

--- a/crates/channel/src/membership.rs
+++ b/crates/channel/src/membership.rs
@@ -64,15 +64,18 @@
                     }
                     ResolverResult::Update(scope, update) => {
                         let entries = take(scope, &update);
+                        fleet.shared.list_unread.store(false, Ordering::Release);
                         handle.list(scope, entries).await;
                         ready.send_replace(true);
                     }
-                    ResolverResult::Failed(failure) => {
-                        if failure == Failure::Unusable {
-                            handle.counters().lists_unusable.add();
-                        }
+                    ResolverResult::Failed(Failure::Unavailable) => {
                         handle.list(ListScope::Failed, Arc::new([])).await;
                     }
+                    ResolverResult::Failed(Failure::Unusable) => {
+                        fleet.shared.list_unread.store(true, Ordering::Release);
+                        handle.counters().lists_unusable.add();
+                        handle.list(ListScope::Unusable, Arc::new([])).await;
+                    }
                     ResolverResult::Moved => handle.list(ListScope::Moved, Arc::new([])).await,
                     ResolverResult::Silent(since) => {
                         let since = clock.at(since);
--- a/crates/channel/src/resolver.rs
+++ b/crates/channel/src/resolver.rs
@@ -173,6 +173,8 @@
                                 tracing::info!(?version, failed, "discovery: {error}");
                             }
                             Failure::Unusable => {
+                                // Asked for the same changes again, it may say the same again.
+                                self.rev = None;
                                 tracing::error!(
                                     ?version,
                                     failed,
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -73,6 +73,8 @@
     pub severed: Mutex<Option<Instant>>,
     /// The last word of the watch that is open, in the clock's microseconds; see [`Shared::list_holds`].
     pub last_word: AtomicI64,
+    /// Something was told of the list that could not be read, and no list was read since.
+    pub list_unread: AtomicBool,
 }
 
 /// No watch is open: how long the list holds then, the decisions know.
@@ -82,7 +84,8 @@
     /// Whether the list may still be gone by, as far as an open watch tells. One that has been silent for so long is
     /// dead, though a late turn of this process may not have noticed yet.
     fn list_holds(&self, now: Time) -> bool {
-        Time(self.last_word.load(Ordering::Acquire)) + TOLD_WITHIN > now
+        !self.list_unread.load(Ordering::Acquire)
+            && Time(self.last_word.load(Ordering::Acquire)) + TOLD_WITHIN > now
     }
 }
 
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -408,6 +408,8 @@
     Remembered,
     /// A call failed or the subscription broke; nothing changed.
     Failed,
+    /// Something was told that cannot be read, so nobody knows what changed.
+    Unusable,
     /// The subscription was given up, since nothing came on it; nothing changed.
     Silent {
         /// When the last word came.
--- a/crates/decisions/src/dispatcher.rs
+++ b/crates/decisions/src/dispatcher.rs
@@ -135,6 +135,7 @@
     fn on_list(&mut self, scope: ListScope, entries: &[Listing]) {
         match scope {
             ListScope::Failed => return self.list.lost(self.now, &mut self.rng),
+            ListScope::Unusable => return self.list.unusable(self.now, &mut self.rng),
             ListScope::Silent { since } => return self.list.silent(since, self.now, &mut self.rng),
             ListScope::Moved => return self.list.moved(self.now),
             ListScope::Changes | ListScope::Complete => self.list.heard(),
--- a/crates/decisions/src/list_age.rs
+++ b/crates/decisions/src/list_age.rs
@@ -19,6 +19,7 @@
 //! | pushed: the watch fell silent, or discovery moved | 6 s and 4 s, as above | within a quarter of a second |
 //! | pushed: the agent itself is silent: three calls in a row fail | half a second after the last call began | within a quarter of a second |
 //! | asked for: nothing was heard since the start | as if a watch had ended at the start | by the host at once |
+//! | something was told that cannot be read | that moment | as after a call that failed, the whole list |
 //! | pushed: nothing was heard since the start | until its host says that the first call failed | by the host at once |
 //!
 //! Where lists are pushed, what the agent has counts at once, watch or none. A call that ends without a list shows that
@@ -58,6 +59,8 @@
     asked: Time,
     /// From when on something that was missed counts as told.
     doubt: Option<Time>,
+    /// When something was told that could not be read; no list was since.
+    unread: Option<Time>,
     next: Time,
 }
 
@@ -74,6 +77,7 @@
             seen: Time::default(),
             asked: Time::default(),
             doubt: None,
+            unread: None,
             next: Time::default(),
         }
     }
@@ -86,7 +90,7 @@
 
     /// A list, or changes of it: a watch is open.
     pub fn heard(&mut self) {
-        (self.open, self.fails, self.doubt) = (true, 0, None);
+        (self.open, self.fails, self.doubt, self.unread) = (true, 0, None, None);
     }
 
     /// The watch ended or, if none was open, the call failed.
@@ -97,6 +101,12 @@
         self.plan(now, rng);
     }
 
+    /// An answer came that cannot be used: what it told holds, whatever that is.
+    pub fn unusable(&mut self, now: Time, rng: &mut impl Rng) {
+        self.unread.get_or_insert(now);
+        self.lost(now, rng);
+    }
+
     /// Nothing came on the watch since then, so it was given up.
     pub fn silent(&mut self, since: Time, now: Time, rng: &mut impl Rng) {
         self.ends(since);
@@ -159,7 +169,8 @@
                 (self.seen + self.ask_every).max(self.asked + Span(self.ask_every.0.saturating_mul(calls)));
             self.doubt.map_or(known, |doubt| doubt.min(known))
         };
-        allowed.min(self.seen + TOLD_WITHIN)
+        let allowed = allowed.min(self.seen + TOLD_WITHIN);
+        self.unread.map_or(allowed, |unread| allowed.min(unread))
     }
 
     /// Backoff with jitter: after an outage of the list not all may call at once, and each must hear in time.
--- a/crates/decisions/tests/list_age.rs
+++ b/crates/decisions/tests/list_age.rs
@@ -212,3 +212,36 @@
         }
     }
 }
+
+/// What an answer told that cannot be read holds, whatever other calls do, until a list can be read.
+#[test]
+fn a_list_is_gone_by_no_longer_once_a_change_could_not_be_read() {
+    for discovery in [Discovery::Subscribe, Discovery::Automatic] {
+        for seed in 0..50 {
+            let (mut age, mut rng) = (list_age(discovery, 10_000, 300), SmallRng::seed_from_u64(seed));
+            let mut now = Time::from_ms(1e6);
+            age.born(now, &mut rng);
+            age.heard();
+            age.unusable(now, &mut rng);
+            for call in 0..20 {
+                assert!(!age.is_trusted(now), "{discovery:?}, call {call}");
+                let next = age.next().expect("it asks again");
+                assert!(
+                    next - now <= ms(30_000),
+                    "{discovery:?}, call {call} after {} ms",
+                    (next - now).ms()
+                );
+                assert!(call > 0 || next - now <= ms(600), "{discovery:?}: the first call anew is soon");
+                now = next;
+                age.asks(now);
+                match call % 3 {
+                    0 => age.lost(now, &mut rng),
+                    1 => age.unusable(now, &mut rng),
+                    _ => age.moved(now),
+                }
+            }
+            age.heard();
+            assert!(age.is_trusted(now + ms(60_000)), "a list can be read");
+        }
+    }
+}
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -227,7 +227,9 @@
             Input::List(scope, entries) => {
                 match scope {
                     ListScope::Changes | ListScope::Complete => self.counters.lists.add(),
-                    ListScope::Failed | ListScope::Silent { .. } => self.counters.lists_failed.add(),
+                    ListScope::Failed | ListScope::Unusable | ListScope::Silent { .. } => {
+                        self.counters.lists_failed.add();
+                    }
                     ListScope::Remembered | ListScope::Moved => {}
                 }
                 self.events.push_back(Event::List { scope, entries });
--- a/crates/rookspoke/tests/common/world.rs
+++ b/crates/rookspoke/tests/common/world.rs
@@ -557,6 +557,8 @@
     news: Arc<Mutex<Vec<mpsc::Sender<String>>>>,
     /// The whole list, as a watch is first told it.
     first: Arc<Mutex<String>>,
+    /// What a watch is first told that goes on from a version, if that is not the whole list.
+    changes: Arc<Mutex<Option<String>>>,
     pub watches: Arc<AtomicU32>,
     /// Watches that have not ended, as far as has been noticed.
     pub open: Arc<AtomicU32>,
@@ -569,10 +571,12 @@
         let news: Arc<Mutex<Vec<mpsc::Sender<String>>>> = Arc::default();
         let (first, watches) = (Arc::new(Mutex::new(whole_list(&list))), Arc::new(AtomicU32::new(0)));
         let open = Arc::new(AtomicU32::new(0));
+        let changes: Arc<Mutex<Option<String>>> = Arc::default();
         let discovery = Discovery {
             address,
             news: news.clone(),
             first: first.clone(),
+            changes: changes.clone(),
             watches: watches.clone(),
             open: open.clone(),
         };
@@ -587,9 +591,9 @@
                 };
                 watches.fetch_add(1, Ordering::SeqCst);
                 open.fetch_add(1, Ordering::SeqCst);
-                let open = open.clone();
+                let (open, changes) = (open.clone(), changes.clone());
                 thread::spawn(move || {
-                    watch(stream, first, &told);
+                    watch(stream, &first, &changes, &told);
                     open.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -619,6 +623,11 @@
         self.set_text(&whole_list(&list));
     }
 
+    /// What those are first told that go on from a version, in the place of the whole list.
+    pub fn set_changes(&self, line: Option<&str>) {
+        *self.changes.lock().expect("changes") = line.map(str::to_owned);
+    }
+
     /// The whole list in this form, without the end of its last line.
     pub fn set_text(&self, list: &str) {
         *self.first.lock().expect("the list") = list.to_owned();
@@ -629,12 +638,13 @@
     json!({"rev": 1, "all": true, "targets": entries}).to_string()
 }
 
-fn watch(mut stream: TcpStream, first: String, told: &mpsc::Receiver<String>) {
+fn watch(mut stream: TcpStream, whole: &str, changes: &Mutex<Option<String>>, told: &mpsc::Receiver<String>) {
     let mut from = BufReader::new(stream.try_clone().expect("a clone"));
-    if read_message(&mut from).is_none() {
-        return;
-    }
-    let mut line = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&first));
+    let Some(call) = read_message(&mut from) else { return };
+    let goes_on = !call.first.contains("after=0 ");
+    let changes = changes.lock().expect("changes").clone().filter(|_| goes_on);
+    let first = chunk(changes.as_deref().unwrap_or(whole));
+    let mut line = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{first}");
     loop {
         if stream.write_all(line.as_bytes()).is_err() {
             return;
--- a/crates/rookspoke/tests/large_lists.rs
+++ b/crates/rookspoke/tests/large_lists.rs
@@ -180,3 +180,44 @@
     daemon.wait_ready();
     assert_eq!(ask(daemon.address("http"), &post("log-lookup", "01", 5_000, "")).status, 200);
 }
+
+/// A change that nobody can read was told, and then the whole list, to whoever asks for it.
+#[test]
+fn a_change_that_cannot_be_read_is_not_taken_for_no_change() {
+    let (one, two) = (Worker::serving("w-1"), Worker::serving("w-2"));
+    let discovery = Discovery::of(&[&one, &two]);
+    let daemon = Daemon::over(&discovery);
+    let http = daemon.address("http");
+    // What follows the version held is unreadable each time; the whole list is not.
+    discovery.set_changes(Some("{\"rev\":2,\"all\":false,\"targets\":[{]}"));
+    discovery.set(vec![one.entry("leaving"), two.entry("active")]);
+    let told = Instant::now();
+    discovery.say("{\"rev\":2,\"all\":false,\"targets\":[{]}");
+    serves_until(http, told + DRAIN_GRACE);
+    let before = one.count();
+    serves_until(http, told + DRAIN_GRACE + WATCHED);
+    assert_eq!(one.count() - before, 0, "jobs sent to a draining log worker");
+    daemon.wait_counters("http", &["lists_unusable=1"]);
+}
+
+/// Discovery says nothing that makes sense any more: jobs wait, and do not go by a list that something was told about.
+#[test]
+fn no_job_goes_by_a_list_whose_changes_cannot_be_read() {
+    let one = Worker::serving("w-1");
+    let discovery = Discovery::of(&[&one]);
+    let daemon = Daemon::over(&discovery);
+    let http = daemon.address("http");
+    discovery.set_changes(Some("nonsense"));
+    discovery.set_text("nonsense");
+    let told = Instant::now();
+    discovery.say("nonsense");
+    std::thread::sleep((told + DRAIN_GRACE).saturating_duration_since(Instant::now()));
+    let before = one.count();
+    let late = send(http, &post("log-lookup", "0000000000000701", 9_000, ""));
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(one.count(), before, "a job was sent by the old list");
+    discovery.set_changes(None);
+    discovery.set(vec![one.entry("active")]);
+    let answer = read_message(&mut std::io::BufReader::new(late)).expect("an answer");
+    assert_eq!(answer.status, 200, "once a list can be read again");
+}
