--- a/crates/channel/src/fleet.rs
+++ b/crates/channel/src/fleet.rs
@@ -1,18 +1,19 @@
 //! The subchannels of all listed log workers, and the core's transport over them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::mpsc;
 use tower::Service;
 
 use super::resolver::Order;
 use super::subchannel::{lock, Call, Shared, Subchannel};
 use rookspoke_config::Update;
-use rookspoke_decisions::{Ban, ListScope, Name, Outcome, Readiness};
+use rookspoke_decisions::{Ban, ListScope, Listing, Name, Outcome, Readiness};
 use rookspoke_dispatch::{CallAttempt, Ended, Probed, Transport};
 
 /// How often idle connections are looked through.
@@ -22,7 +23,7 @@
 #[derive(Clone)]
 pub struct Fleet {
     pub shared: Arc<Shared>,
-    subchannels: Arc<std::sync::Mutex<BTreeMap<Name, Subchannel>>>,
+    subchannels: Arc<std::sync::Mutex<FxHashMap<Name, Subchannel>>>,
     /// Taken out by hand, listed or not.
     banned: Arc<std::sync::Mutex<BTreeSet<Name>>>,
 }
@@ -34,7 +35,7 @@
     }
 
     /// All subchannels.
-    pub fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, Subchannel>> {
+    pub fn lock(&self) -> std::sync::MutexGuard<'_, FxHashMap<Name, Subchannel>> {
         lock(&self.subchannels)
     }
 
@@ -51,13 +52,13 @@
         self.lock().get(name).cloned()
     }
 
-    /// Takes a list or its changes. What is gone or draining is shut for new work from this moment on,
-    /// before the decisions hear of it.
-    pub fn apply(&self, scope: ListScope, update: &Update) {
+    /// Takes a list or its changes, whose entries `listings` holds as the decisions take them. What is gone or draining
+    /// is shut for new work from this moment on, before the decisions hear of it.
+    pub fn apply(&self, scope: ListScope, update: &Update, listings: &[Listing]) {
         let banned = lock(&self.banned);
         let mut subchannels = self.lock();
         if scope != ListScope::Changes {
-            let named: BTreeSet<&str> = update.targets.iter().map(|t| t.uid.as_str()).collect();
+            let named: FxHashSet<&str> = update.targets.iter().map(|target| target.uid.as_ref()).collect();
             subchannels.retain(|name, subchannel| {
                 subchannel.set_ready(false);
                 named.contains(name.as_ref())
@@ -69,21 +70,24 @@
                 subchannel.set_ready(false);
             }
         }
-        for target in &update.targets {
-            let listing = target.listing();
+        for (target, listing) in update.targets.iter().zip(listings) {
+            let name = &listing.worker;
             if listing.readiness == Readiness::Gone {
-                if let Some(gone) = subchannels.remove(&listing.worker) {
+                if let Some(gone) = subchannels.remove(name) {
                     gone.set_ready(false);
                 }
                 continue;
             }
-            let name = listing.worker;
-            let new = || Subchannel::new(name.clone(), target.endpoint, self.shared.clone());
-            let epoch = listing.started.map_or(0, |t| t.0 as u64);
+            let epoch = listing.started.map_or(0, |at| at.0 as u64);
             let ready = listing.readiness == Readiness::InService;
-            let subchannel = subchannels.entry(name.clone()).or_insert_with(new);
-            subchannel.set_banned(banned.contains(&name));
+            if let Some(subchannel) = subchannels.get(name) {
+                subchannel.update(target.endpoint, ready, epoch);
+                continue;
+            }
+            let subchannel = Subchannel::new(name.clone(), target.endpoint, self.shared.clone());
+            subchannel.set_banned(banned.contains(name));
             subchannel.update(target.endpoint, ready, epoch);
+            subchannels.insert(name.clone(), subchannel);
         }
     }
 
--- a/crates/channel/src/membership.rs
+++ b/crates/channel/src/membership.rs
@@ -40,8 +40,7 @@
             let (handle, fleet, start_times) = (handle.clone(), fleet.clone(), start_times.clone());
             move |scope, update: &Update| {
                 report_unreadable(handle.counters(), update);
-                fleet.apply(scope, update);
-                listings(&start_times, &fleet, scope, update)
+                take_update(&start_times, &fleet, scope, update)
             }
         };
         let entries = known.as_ref().map(|known| take(ListScope::Remembered, known));
@@ -100,14 +99,15 @@
     );
 }
 
-/// An update's entries, as the decisions take them.
-fn listings(
+/// Passes an update on to the subchannels; gives its entries as the decisions take them.
+fn take_update(
     start_times: &Mutex<StartTimes>,
     fleet: &Fleet,
     scope: ListScope,
     update: &Update,
 ) -> Arc<[Listing]> {
     let mut entries: Vec<Listing> = update.targets.iter().map(Target::listing).collect();
+    fleet.apply(scope, update, &entries);
     if scope == ListScope::Changes {
         let named = update.unreadable.iter().filter_map(|entry| entry.worker.clone());
         entries.extend(named.filter(|name| fleet.get(name).is_some()).map(drained));
--- a/crates/channel/src/start_times.rs
+++ b/crates/channel/src/start_times.rs
@@ -5,9 +5,8 @@
 //! it lies ahead, or since it is told as news long after it was, counts from when it was first told: the log worker is
 //! taken for colder than it is, never for warmer. Only what discovery first tells a process is taken as it stands.
 
-use std::collections::HashMap;
-
 use rookspoke_decisions::{ListScope, Listing, Name, Readiness, Span, Time};
+use rustc_hash::FxHashMap;
 
 /// News of a start comes within seconds, or, where discovery was out, within a minute.
 const NEWS: Span = Span(60_000_000);
@@ -22,7 +21,7 @@
 /// The starts of the log workers that are listed.
 #[derive(Debug, Default)]
 pub struct StartTimes {
-    starts: HashMap<Name, Start>,
+    starts: FxHashMap<Name, Start>,
     /// Discovery has told something before: what it tells further is news.
     has_list: bool,
 }
@@ -34,7 +33,7 @@
         let former = match scope {
             // What a whole list does not name is gone.
             ListScope::Complete => std::mem::take(&mut self.starts),
-            _ => HashMap::new(),
+            _ => FxHashMap::default(),
         };
         for entry in entries {
             if entry.readiness == Readiness::Gone {
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -1,9 +1,11 @@
 //! The list of log workers, in discovery's form.
 
+use std::borrow::Cow;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 
 use rookspoke_decisions::{Listing, Name, Readiness, Time};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
 
@@ -90,19 +92,57 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct Target {
     /// Its name, the same for every dispatcher.
-    pub uid: String,
+    #[serde(deserialize_with = "name")]
+    pub uid: Name,
     /// Where this dispatcher reaches it.
     pub endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
+    #[serde(default = "no_name", deserialize_with = "shared_name")]
+    az: Name,
+    #[serde(default = "no_name", deserialize_with = "shared_name")]
+    model: Name,
     pod_group: Option<u64>,
     state: State,
     capacity_hint: Option<f64>,
     boot_ms: Option<f64>,
 }
 
+/// Names of zones and kinds that are remembered, so that each is held once and not once for every log worker.
+const SHARED_NAMES: usize = 64;
+
+thread_local! {
+    static SHARED: RefCell<Vec<Name>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A string that is borrowed where its text needs no change.
+#[derive(Deserialize)]
+struct Text<'a>(#[serde(borrow)] Cow<'a, str>);
+
+fn name<'de, D: Deserializer<'de>>(from: D) -> Result<Name, D::Error> {
+    Text::deserialize(from).map(|text| Name::from(text.0))
+}
+
+fn no_name() -> Name {
+    shared("")
+}
+
+fn shared_name<'de, D: Deserializer<'de>>(from: D) -> Result<Name, D::Error> {
+    Text::deserialize(from).map(|text| shared(&text.0))
+}
+
+/// The one name of this text, as far as it is remembered.
+fn shared(text: &str) -> Name {
+    SHARED.with_borrow_mut(|names| {
+        if let Some(name) = names.iter().find(|name| ***name == *text) {
+            return name.clone();
+        }
+        let name = Name::from(text);
+        if names.len() < SHARED_NAMES {
+            names.push(name.clone());
+        }
+        name
+    })
+}
+
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum State {
@@ -115,9 +155,9 @@
     /// The entry as the decisions know it.
     pub fn listing(&self) -> Listing {
         Listing {
-            worker: self.uid.as_str().into(),
-            kind: self.model.as_str().into(),
-            zone: self.az.as_str().into(),
+            worker: self.uid.clone(),
+            kind: self.model.clone(),
+            zone: self.az.clone(),
             cell: self.pod_group,
             started: self.boot_ms.filter(|ms| ms.is_finite() && *ms > 0.0).map(Time::from_ms),
             weight: self.capacity_hint.filter(|w| w.is_finite()).unwrap_or(1.0),
@@ -152,7 +192,7 @@
         ];
         let all = [&[entry("w-1", "leaving")], &bad[..], &[entry("w-5", "active")]].concat();
         let update = Update::read(text(&all).as_bytes()).expect("an update");
-        let read: Vec<&str> = update.targets.iter().map(|target| target.uid.as_str()).collect();
+        let read: Vec<&str> = update.targets.iter().map(|target| target.uid.as_ref()).collect();
         assert_eq!((update.rev, read), (3, vec!["w-1", "w-5"]));
         let named = update.unreadable.iter().map(|entry| (entry.place, entry.worker.as_deref()));
         assert_eq!(named.collect::<Vec<_>>(), [(1, Some("w-2")), (2, Some("w-3")), (3, None), (4, None)]);
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -8,10 +8,13 @@
 use crate::partitions::{Candidate, Partitions};
 use crate::worker::{KeyHash, Worker, WorkerId};
 
+/// Beyond so many workers that enter service at once their order is merged as a whole, not one by one.
+const FEW: usize = 16;
+
 /// Workers by name and number, and those in service in the order of their names.
 #[derive(Default)]
 pub struct Fleet {
-    by_name: BTreeMap<Name, WorkerId>,
+    by_name: FxHashMap<Name, WorkerId>,
     by_id: FxHashMap<WorkerId, Worker>,
     next: WorkerId,
     /// What operators have taken out by hand, and since when.
@@ -33,11 +36,12 @@
     }
     /// Takes a list or its changes; a worker absent from a complete list has been removed.
     pub fn apply(&mut self, scope: ListScope, entries: &[Listing], s: &Settings, now: Time) {
+        let mut moves = Vec::new();
         if scope != ListScope::Changes {
             let named: FxHashSet<&str> = entries.iter().map(|entry| entry.worker.as_ref()).collect();
             let left = self.by_name.iter().filter(|(name, _)| !named.contains(name.as_ref()));
             let left: Vec<WorkerId> = left.map(|(_, id)| *id).collect();
-            left.into_iter().for_each(|id| self.set_readiness(id, Readiness::Gone));
+            left.into_iter().for_each(|id| moves.extend(self.set_readiness(id, Readiness::Gone)));
         }
         for entry in entries {
             let id = match self.find(&entry.worker) {
@@ -63,14 +67,16 @@
                     self.partitions.entry(key).or_default().set_weight(hash, id, entry.weight);
                 }
             }
-            self.set_readiness(id, entry.readiness);
+            moves.extend(self.set_readiness(id, entry.readiness));
         }
+        self.reorder(&moves);
     }
     /// Takes what operators have taken out by hand, whether it is listed or not. What comes back was restarted
     /// meanwhile, so it is as cold as one can be, unless the list told of that start since.
     pub fn ban(&mut self, bans: &[Ban], now: Time) {
         let new = bans.iter().map(|ban| (ban.worker.clone(), ban.since)).collect();
         let old = std::mem::replace(&mut self.banned, new);
+        let mut moves = Vec::new();
         let back = old.iter().filter(|(name, _)| !self.banned.contains_key(*name));
         for (id, since) in
             back.filter_map(|(name, since)| Some((self.find(name)?, *since))).collect::<Vec<_>>()
@@ -78,11 +84,12 @@
             if let Some(w) = self.by_id.get_mut(&id).filter(|w| w.listed_start.is_none_or(|at| at < since)) {
                 w.restart(Some(now), now);
             }
-            self.refresh(id);
+            moves.extend(self.refresh(id));
         }
         for id in bans.iter().filter_map(|ban| self.find(&ban.worker)).collect::<Vec<_>>() {
-            self.refresh(id);
+            moves.extend(self.refresh(id));
         }
+        self.reorder(&moves);
     }
     /// Whether a worker is listed, or taken out by hand.
     pub fn knows(&self, name: &str) -> bool {
@@ -100,24 +107,20 @@
         let skipped = listed().filter(|w| !w.ready || now < w.ejected_until).count();
         Census { known: listed().count(), skipped }
     }
-    fn set_readiness(&mut self, id: WorkerId, readiness: Readiness) {
-        if let Some(w) = self.by_id.get_mut(&id) {
-            w.readiness = readiness;
-            self.refresh(id);
-        }
+    #[must_use = "the order of those in service is not kept otherwise"]
+    fn set_readiness(&mut self, id: WorkerId, readiness: Readiness) -> Option<WorkerId> {
+        self.by_id.get_mut(&id)?.readiness = readiness;
+        self.refresh(id)
     }
-    /// Moves a worker into or out of what is in service. One that is gone and owes nothing is forgotten.
-    fn refresh(&mut self, id: WorkerId) {
-        let Some(w) = self.by_id.get_mut(&id) else { return };
+    /// Files a worker by whether it is in service; names it if that has changed. One that is gone and owes nothing is
+    /// forgotten.
+    #[must_use = "the order of those in service is not kept otherwise"]
+    fn refresh(&mut self, id: WorkerId) -> Option<WorkerId> {
+        let w = self.by_id.get_mut(&id)?;
         let ready = w.readiness == Readiness::InService && !self.banned.contains_key(&w.name);
-        if std::mem::replace(&mut w.ready, ready) != ready {
-            let (candidate, keys, name) = (w.candidate(id), w.partitions(), w.name.clone());
-            let by_id = &self.by_id;
-            let place = self.ready.partition_point(|other| by_id.get(other).is_some_and(|o| o.name < name));
-            match ready {
-                true => self.ready.insert(place, id),
-                false => drop(self.ready.remove(place)),
-            }
+        let changed = std::mem::replace(&mut w.ready, ready) != ready;
+        if changed {
+            let (candidate, keys) = (w.candidate(id), w.partitions());
             for key in keys {
                 let parts = self.partitions.entry(key).or_default();
                 match ready {
@@ -127,6 +130,31 @@
             }
         }
         self.forget_if_idle(id);
+        changed.then_some(id)
+    }
+    /// Keeps `ready` in the order of names after these workers entered or left service.
+    fn reorder(&mut self, moves: &[WorkerId]) {
+        let by_id = &self.by_id;
+        let name = |id: &WorkerId| by_id.get(id).map(|w| &w.name);
+        let in_service = |id: &WorkerId| by_id.get(id).is_some_and(|w| w.ready);
+        if !moves.iter().all(in_service) {
+            self.ready.retain(in_service);
+        }
+        let entered = moves.iter().filter(|id| in_service(id));
+        if moves.len() > FEW {
+            let mut named: Vec<_> = self.ready.iter().chain(entered).map(|id| (name(id), *id)).collect();
+            named.sort();
+            self.ready = named.into_iter().map(|(_, id)| id).collect();
+            // One that left and came back is there twice.
+            self.ready.dedup();
+            return;
+        }
+        for id in entered {
+            let place = self.ready.partition_point(|other| name(other) < name(id));
+            if self.ready.get(place) != Some(id) {
+                self.ready.insert(place, *id);
+            }
+        }
     }
     /// Workers in service from which a key takes its order: in a fleet of some hundreds all, else a fixed number
     /// that depends on the key. Of the own zone, of others, or of all.
@@ -180,3 +208,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/decisions/src/fleet/tests.rs
@@ -0,0 +1,61 @@
+//! The order of the workers in service, over lists and bans.
+
+#[path = "../../tests/common/mod.rs"]
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{listing, settings};
+use proptest::prelude::*;
+
+use super::*;
+
+/// A list, or who is out by hand.
+#[derive(Clone, Debug)]
+enum Step {
+    List(ListScope, Vec<(usize, Readiness)>),
+    Bans(BTreeSet<usize>),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let readiness = prop_oneof![3 => Just(Readiness::InService), 1 => Just(Readiness::Draining), 1 => Just(Readiness::Gone)];
+    let scope = prop_oneof![3 => Just(ListScope::Changes), 1 => Just(ListScope::Complete)];
+    // Some name a worker more than once.
+    let entries = proptest::collection::vec((0usize..60, readiness), 0..80);
+    prop_oneof![
+        4 => (scope, entries).prop_map(|(scope, entries)| Step::List(scope, entries)),
+        1 => proptest::collection::btree_set(0usize..60, 0..30).prop_map(Step::Bans),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn those_in_service_are_there_once_each_in_the_order_of_their_names(
+        steps in proptest::collection::vec(step(), 1..12),
+    ) {
+        let (s, now) = (settings(&[Effect::Safe]), Time::from_ms(1e6));
+        let (mut fleet, mut listed, mut banned) = (Fleet::default(), BTreeMap::new(), BTreeSet::new());
+        for step in steps {
+            match step {
+                Step::List(scope, entries) => {
+                    if scope == ListScope::Complete {
+                        listed.clear();
+                    }
+                    listed.extend(entries.iter().copied());
+                    let entry = |(at, readiness): &(usize, Readiness)| Listing { readiness: *readiness, ..listing(*at) };
+                    fleet.apply(scope, &entries.iter().map(entry).collect::<Vec<_>>(), &s, now);
+                }
+                Step::Bans(bans) => {
+                    let ban = |at: &usize| Ban { worker: listing(*at).worker, since: now };
+                    fleet.ban(&bans.iter().map(ban).collect::<Vec<_>>(), now);
+                    banned = bans;
+                }
+            }
+            let in_service = listed.iter().filter(|(at, r)| **r == Readiness::InService && !banned.contains(*at));
+            let mut expected: Vec<Name> = in_service.map(|(at, _)| listing(*at).worker).collect();
+            expected.sort();
+            let ready: Vec<Name> = fleet.ready.iter().map(|id| fleet.get(*id).expect("a worker").name.clone()).collect();
+            prop_assert_eq!(ready, expected);
+        }
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! A host feeds [`Event`]s to a [`Dispatcher`] and carries out the [`Action`]s it pushes.
 
+#[cfg(test)]
+extern crate self as rookspoke_decisions;
+
 mod admission;
 mod api;
 mod dispatcher;
