Connections: the oldest idle one makes room for one to another log worker

Callers saw jobs refused or failed though log workers had room, in fleets with more log workers than a dispatcher may hold connections.

Once kept connections filled all places, an attempt for any further log worker ended as not sent. The number of places does not follow from the list, and reaching it was one line of the log with no counter. Found by looking for the incident's class: a bound that one quantity fills at another one's size. Change: where there is no place, the connection that has been idle for longest is closed. Counted (connections_displaced), and what finds no place even so (connections_without_room).

Red before: kept_connections_leave_room_for_one_to_another_log_worker (60 log workers, 64 descriptors: a job not served, 20 lines "no room"). Passes now, all 400 jobs served. In the rig, how far a watch may be behind follows from the number of log workers, too.

--- a/crates/channel/src/fleet.rs
+++ b/crates/channel/src/fleet.rs
@@ -31,7 +31,10 @@
 impl Fleet {
     /// Without any log worker yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Fleet { shared, subchannels: Arc::default(), banned: Arc::default() }
+        let fleet = Fleet { shared, subchannels: Arc::default(), banned: Arc::default() };
+        // Nobody else sets it.
+        let _ = fleet.shared.subchannels.set(Arc::downgrade(&fleet.subchannels));
+        fleet
     }
 
     /// All subchannels.
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -137,6 +137,7 @@
             max_idle: millis(config.conn_idle_ms * IDLE_PART),
             severed: std::sync::Mutex::default(),
             last_word: NO_WATCH.into(),
+            subchannels: std::sync::OnceLock::new(),
             list_unread: false.into(),
         });
         let (orders, inbox) = mpsc::channel(4);
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -12,9 +12,10 @@
 use http::{header, HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
 use super::connection::{Broke, Connection};
@@ -73,6 +74,8 @@
     pub severed: Mutex<Option<Instant>>,
     /// The last word of the watch that is open, in the clock's microseconds; see [`Shared::list_holds`].
     pub last_word: AtomicI64,
+    /// All subchannels, of which the oldest idle connection makes room for a new one.
+    pub subchannels: OnceLock<Weak<Mutex<FxHashMap<Name, Subchannel>>>>,
     /// Something was told of the list that could not be read, and no list was read since.
     pub list_unread: AtomicBool,
 }
@@ -81,6 +84,30 @@
 pub const NO_WATCH: i64 = i64::MAX;
 
 impl Shared {
+    /// Room for one more connection, if need be in the place of the one that has been idle for longest.
+    fn take_room(&self) -> Option<OwnedSemaphorePermit> {
+        self.free_room().or_else(|| {
+            self.close_oldest_idle();
+            self.free_room()
+        })
+    }
+
+    fn free_room(&self) -> Option<OwnedSemaphorePermit> {
+        let is_left = self.room.available_permits() > self.spare.load(Ordering::Relaxed);
+        is_left.then(|| self.room.clone().try_acquire_owned().ok()).flatten()
+    }
+
+    fn close_oldest_idle(&self) {
+        let Some(subchannels) = self.subchannels.get().and_then(Weak::upgrade) else { return };
+        let subchannels = lock(&subchannels);
+        let idle_since = |subchannel: &&Subchannel| lock(&subchannel.0.idle).front().map(|c| c.idle_since);
+        let idle = subchannels.values().filter(|subchannel| idle_since(subchannel).is_some());
+        if let Some(oldest) = idle.min_by_key(idle_since) {
+            lock(&oldest.0.idle).pop_front();
+            self.counters.connections_displaced.add();
+        }
+    }
+
     /// Whether the list may still be gone by, as far as an open watch tells. One that has been silent for so long is
     /// dead, though a late turn of this process may not have noticed yet.
     fn list_holds(&self, now: Time) -> bool {
@@ -208,8 +235,8 @@
 
     async fn open(&self) -> Result<Connection, Failed> {
         let shared = &self.0.shared;
-        let left = shared.room.available_permits() > shared.spare.load(Ordering::Relaxed);
-        let room = left.then(|| shared.room.clone().try_acquire_owned().ok()).flatten().ok_or_else(|| {
+        let room = shared.take_room().ok_or_else(|| {
+            shared.counters.connections_without_room.add();
             tracing::warn!("no room for another connection to {}", self.0.name);
             Outcome::NotSent
         })?;
--- a/crates/dispatch/src/counters.rs
+++ b/crates/dispatch/src/counters.rs
@@ -80,6 +80,10 @@
     late_reports,
     /// Probes sent.
     probes,
+    /// Idle connections to log workers closed to make room for another.
+    connections_displaced,
+    /// Connections to log workers that were not opened, since there was no room and none was idle.
+    connections_without_room,
     /// Resolver results taken.
     lists,
     /// Calls to discovery that failed, and watches that broke.
--- a/crates/rig/src/registry.rs
+++ b/crates/rig/src/registry.rs
@@ -29,8 +29,8 @@
 const EMPTY_EVERY: Duration = Duration::from_secs(2);
 /// What a silent watch has missed counts as told so long after it fell silent, by the operators' standing test.
 const SILENCE_COUNTS: Duration = Duration::from_secs(6);
-/// Changes that a watch may be behind; one that is further behind ends, and its dispatcher asks anew.
-const BEHIND: usize = 1024;
+/// Changes of each log worker that a watch may be behind; one that is further behind ends, and its dispatcher asks anew.
+const BEHIND: usize = 4;
 
 /// What discovery sees of a log worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,7 +111,7 @@
             lives: HashMap::new(),
         };
         let mode = watch::Sender::new(Mode::Works);
-        let changes = broadcast::Sender::new(BEHIND);
+        let changes = broadcast::Sender::new(BEHIND * workers.max(256));
         Registry(Arc::new(Inner {
             s: s.clone(),
             seed,
--- a/crates/rookspoke/tests/large_lists.rs
+++ b/crates/rookspoke/tests/large_lists.rs
@@ -281,3 +281,23 @@
     daemon.wait_log("the watch was silent");
     assert!(listed.elapsed() < Duration::from_secs(6), "given up after {:?}", listed.elapsed());
 }
+
+/// Kept connections fill all the room that there is; a job for another log worker takes the place of the oldest.
+#[test]
+fn kept_connections_leave_room_for_one_to_another_log_worker() {
+    let workers: Vec<Worker> = (0..60).map(|n| Worker::serving(&format!("w-{n}"))).collect();
+    let discovery = Discovery::of(&workers.iter().collect::<Vec<_>>());
+    let mut config = config(discovery.address);
+    config["limits"]["sockets"] = 64.into();
+    let daemon = Daemon::start(&config, None);
+    daemon.wait_ready();
+    let http = daemon.address("http");
+    for job in 0..400 {
+        let request = String::from_utf8(post("log-lookup", &format!("{job:016x}"), 9_000, "")).expect("text");
+        let request = request.replace("station-1", &format!("station-{job}"));
+        assert_eq!(ask(http, request.as_bytes()).status, 200, "job {job}");
+    }
+    let used = workers.iter().filter(|worker| worker.count() > 0).count();
+    assert!(used > 40, "{used} log workers were used");
+    daemon.wait_counters("http", &["served=400", "connections_without_room=0"]);
+}
