Lists drawn from seeds, and entries whose state is a number

What the drawn lists found: an entry whose state was a number still threw its whole change away. Cause: serde_json counts that error among those of syntax, and only errors of data led to reading by entry. Now every object that does not fit as a whole is read by entry; one that is no JSON fails there, too.

The test plays one daemon before fleets of 1 to 3,200 log workers: changes and whole lists on one line, indented or an entry to a line, in pieces of all sizes, with entries that make no sense, two versions in one write, watches that end right after. Judged by the log workers' own records; a play whose own threads were held up is void. Reading the seeds of a soak and naming the fault library stand once in tests/common now, and no longer in shutdown.rs and soak.rs.

--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -64,11 +64,8 @@
     /// # Errors
     /// Says where the object itself makes no sense.
     pub fn read(text: &[u8]) -> Result<Self, serde_json::Error> {
-        match serde_json::from_slice(text) {
-            // The text is JSON of another shape: it is read entry by entry.
-            Err(error) if error.is_data() => Self::read_by_entry(text),
-            update => update,
-        }
+        // Not by the error's category: a state that is a number counts as an error of syntax.
+        serde_json::from_slice(text).or_else(|_| Self::read_by_entry(text))
     }
 
     fn read_by_entry(text: &[u8]) -> Result<Self, serde_json::Error> {
@@ -189,13 +186,17 @@
             entry("w-3", "active").replace("127.0.0.1:80", "nowhere"),
             entry("w-4", "active").replace("\"uid\"", "\"name\""),
             "7".into(),
+            entry("w-6", "active").replace("\"active\"", "7"),
         ];
         let all = [&[entry("w-1", "leaving")], &bad[..], &[entry("w-5", "active")]].concat();
         let update = Update::read(text(&all).as_bytes()).expect("an update");
         let read: Vec<&str> = update.targets.iter().map(|target| target.uid.as_ref()).collect();
         assert_eq!((update.rev, read), (3, vec!["w-1", "w-5"]));
         let named = update.unreadable.iter().map(|entry| (entry.place, entry.worker.as_deref()));
-        assert_eq!(named.collect::<Vec<_>>(), [(1, Some("w-2")), (2, Some("w-3")), (3, None), (4, None)]);
+        assert_eq!(
+            named.collect::<Vec<_>>(),
+            [(1, Some("w-2")), (2, Some("w-3")), (3, None), (4, None), (5, Some("w-6"))]
+        );
         let first = update.unreadable[0].to_string();
         assert!(first.starts_with("targets[1]: unknown variant `resting`"), "{first}");
     }
--- a/crates/rookspoke/tests/common/mod.rs
+++ b/crates/rookspoke/tests/common/mod.rs
@@ -2,4 +2,5 @@
 #![allow(dead_code)]
 
 pub mod faktory;
+pub mod soak;
 pub mod world;
--- a/crates/rookspoke/tests/shutdown.rs
+++ b/crates/rookspoke/tests/shutdown.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::soak;
 use common::world::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -433,8 +434,6 @@
     assert_eq!(worker.count(), 3, "half a request was sent on");
 }
 
-/// Names the seeds of a soak that is run by hand, as `FROM..TO`.
-const SOAK: &str = "ROOKSPOKE_SOAK_SEEDS";
 /// The seeds that every run plays.
 const SEEDS: std::ops::Range<u64> = 1..9;
 /// Plays side by side.
@@ -483,15 +482,7 @@
 
 #[test]
 fn shutdowns_drawn_from_seeds_lose_nothing() {
-    let seeds = match std::env::var(SOAK) {
-        Ok(text) => {
-            let ends =
-                text.split_once("..").and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
-            ends.unwrap_or_else(|| panic!("{SOAK}: found {text:?}, expected `FROM..TO`"))
-        }
-        Err(_) => SEEDS,
-    };
-    let seeds: Vec<u64> = seeds.collect();
+    let seeds: Vec<u64> = soak::seeds_by_hand().unwrap_or(SEEDS).collect();
     for seeds in seeds.chunks(TOGETHER) {
         let started = seeds.iter().map(|seed| {
             let play = drawn(*seed);
--- a/crates/rookspoke/tests/soak.rs
+++ b/crates/rookspoke/tests/soak.rs
@@ -3,18 +3,20 @@
 //!
 //! `ROOKSPOKE_SOAK_SEEDS=FROM..TO cargo test -p rookspoke --test soak -- --nocapture` plays other seeds in full size.
 
+mod common;
+
 use std::ops::Range;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
+use common::soak;
+use common::world::faults_library;
 use rookspoke_emulator::scenario::Stage;
 use rookspoke_emulator::script;
 use rookspoke_rig::dispatcher::FaultInjection;
 use rookspoke_rig::play::{Options, Outcome, Rig, Verdict};
 use rookspoke_rig::soak::{Drawn, Sizes};
 
-/// Names the seeds of a soak that is run by hand.
-const SOAK: &str = "ROOKSPOKE_SOAK_SEEDS";
 /// The seeds that every run plays.
 const SEEDS: Range<u64> = 1..6;
 /// Plays of one seed that may prove nothing, since the rig ran late.
@@ -32,16 +34,10 @@
     PathBuf::from(env!("CARGO_BIN_EXE_rookspoke"))
 }
 
-fn fault_library() -> PathBuf {
-    let library = Path::new(env!("CARGO_BIN_EXE_rookspoke")).with_file_name("deps/librookspoke_faults.so");
-    assert!(library.exists(), "{} is not there", library.display());
-    library
-}
-
 async fn play_once(drawn: &Drawn) -> Played {
     let scenario = script::read_text("drawn.lab", &drawn.script(), Stage::Processes)
         .unwrap_or_else(|problems| panic!("{drawn}\n{}", problems.render()));
-    let faults = drawn.schedule().map(|schedule| FaultInjection { library: fault_library(), schedule });
+    let faults = drawn.schedule().map(|schedule| FaultInjection { library: faults_library(), schedule });
     let options = Options { program: program(), seed: drawn.seed, patience: PATIENCE, faults };
     let rig = Rig::start(scenario, options).await.unwrap_or_else(|error| panic!("{drawn}\n{error}"));
     rig.play().await.unwrap_or_else(|error| panic!("{drawn}\n{error}"));
@@ -71,16 +67,9 @@
     play(drawn).outcome.verdict == Verdict::Broken
 }
 
-/// `FROM..TO`, as the environment says.
-fn seeds() -> Option<Range<u64>> {
-    let text = std::env::var(SOAK).ok()?;
-    let parsed = text.split_once("..").and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
-    Some(parsed.unwrap_or_else(|| panic!("{SOAK}: found {text:?}, expected FROM..TO")))
-}
-
 #[test]
 fn fleets_drawn_from_seeds_keep_every_rule() {
-    let by_hand = seeds();
+    let by_hand = soak::seeds_by_hand();
     let sizes = if by_hand.is_some() { Sizes::FULL } else { Sizes::SMALL };
     let mut broken = Vec::new();
     for seed in by_hand.clone().unwrap_or(SEEDS) {
