Lists: bound the entries, and those that make no sense, by number

Found on the last read of the change: a list of junk (8 MB of one-byte entries) was taken with four million entries left out, each with its error and a place in memory. Cause: the bytes of a list were bounded, its entries were not. Change: 20,000 entries at most, as the bytes have room for, and 4,096 that make no sense; a list with more is unusable as a whole. Entries are read one after another, and no array of unread ones is made.

Red before: a_list_of_junk_takes_no_more_memory_than_the_least_deployment_gives (never turned down, 30 s). Passes now under the 32 MB of the least deployment; the bounds are tested just below, at and above.

--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -2,9 +2,12 @@
 
 use std::borrow::Cow;
 use std::cell::RefCell;
+use std::fmt;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 
 use rookspoke_decisions::{Listing, Name, Readiness, Time};
+use serde::de::{Error as _, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
@@ -12,6 +15,11 @@
 /// The most that a list holds in any form, in bytes: room for twenty thousand log workers, six times the largest fleet.
 pub const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
 
+/// The most entries of a list, for which [`MAX_LIST_BYTES`] has room.
+const MAX_ENTRIES: usize = 20_000;
+/// The most entries that may make no sense in a list that is taken all the same; more than the largest fleet has.
+const MAX_UNREADABLE: usize = 4_096;
+
 /// What discovery says at once: the whole list, or what changed.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Update {
@@ -20,6 +28,7 @@
     /// Whether it is the whole list.
     pub all: bool,
     /// The entries.
+    #[serde(deserialize_with = "bounded_entries")]
     pub targets: Vec<Target>,
     /// Entries that make no sense, and were left out.
     #[serde(skip)]
@@ -38,13 +47,84 @@
     pub found: String,
 }
 
-/// An object whose entries have not been read.
+/// An object that is read entry by entry.
 #[derive(Deserialize)]
-struct RawUpdate<'a> {
+struct UpdateByEntry {
     rev: u64,
     all: bool,
-    #[serde(borrow)]
-    targets: Vec<&'a RawValue>,
+    targets: Entries,
+}
+
+/// Entries, and which of them make no sense.
+#[derive(Default)]
+struct Entries {
+    targets: Vec<Target>,
+    unreadable: Vec<UnreadableEntry>,
+}
+
+impl Entries {
+    fn push(&mut self, place: usize, entry: &RawValue) {
+        match serde_json::from_str(entry.get()) {
+            Ok(target) => self.targets.push(target),
+            Err(error) => {
+                let name = serde_json::from_str(entry.get()).ok();
+                let worker = name.map(|name: EntryName| name.uid.into());
+                self.unreadable.push(UnreadableEntry { place, worker, found: error.to_string() });
+            }
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Entries {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let mut entries = Entries::default();
+        let take = |place, entry: &'de RawValue| {
+            entries.push(place, entry);
+            match entries.unreadable.len() > MAX_UNREADABLE {
+                true => Err(format!("over {MAX_UNREADABLE} entries that make no sense")),
+                false => Ok(()),
+            }
+        };
+        from.deserialize_seq(EachEntry(take, PhantomData))?;
+        Ok(entries)
+    }
+}
+
+fn bounded_entries<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Target>, D::Error> {
+    let mut targets = Vec::new();
+    let take = |_, target| {
+        targets.push(target);
+        Ok(())
+    };
+    from.deserialize_seq(EachEntry(take, PhantomData))?;
+    Ok(targets)
+}
+
+/// Hands each entry of a list on with its place, as long as there are no more than may be.
+struct EachEntry<T, F>(F, PhantomData<T>);
+
+impl<'de, T, F> Visitor<'de> for EachEntry<T, F>
+where
+    T: Deserialize<'de>,
+    F: FnMut(usize, T) -> Result<(), String>,
+{
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a list of entries")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(mut self, mut entries: A) -> Result<(), A::Error> {
+        let mut place = 0;
+        while let Some(entry) = entries.next_element()? {
+            if place >= MAX_ENTRIES {
+                return Err(A::Error::custom(format!("found over {MAX_ENTRIES} entries")));
+            }
+            (self.0)(place, entry).map_err(A::Error::custom)?;
+            place += 1;
+        }
+        Ok(())
+    }
 }
 
 /// The name in an entry that makes no sense otherwise.
@@ -71,19 +151,9 @@
     }
 
     fn read_by_entry(text: &str) -> Result<Self, serde_json::Error> {
-        let raw: RawUpdate = serde_json::from_str(text)?;
-        let mut update = Update::new(raw.rev, raw.all, Vec::with_capacity(raw.targets.len()));
-        for (place, entry) in raw.targets.into_iter().enumerate() {
-            match serde_json::from_str(entry.get()) {
-                Ok(target) => update.targets.push(target),
-                Err(error) => {
-                    let name = serde_json::from_str(entry.get()).ok();
-                    let worker = name.map(|name: EntryName| name.uid.into());
-                    update.unreadable.push(UnreadableEntry { place, worker, found: error.to_string() });
-                }
-            }
-        }
-        Ok(update)
+        let UpdateByEntry { rev, all, targets: Entries { targets, unreadable } } =
+            serde_json::from_str(text)?;
+        Ok(Update { rev, all, targets, unreadable })
     }
 }
 
@@ -214,4 +284,22 @@
             assert!(Update::read(bad.as_bytes()).is_err(), "{bad}");
         }
     }
+
+    #[test]
+    fn a_list_holds_so_many_entries_and_of_them_so_many_that_make_no_sense() {
+        let list = |count: usize, entry: &str| {
+            let text = text(&vec![entry.to_owned(); count]);
+            Update::read(text.as_bytes()).map(|update| (update.targets.len(), update.unreadable.len()))
+        };
+        let good = entry("w", "active");
+        for count in [MAX_ENTRIES - 1, MAX_ENTRIES] {
+            assert_eq!(list(count, &good).expect("a list"), (count, 0));
+        }
+        assert!(list(MAX_ENTRIES + 1, &good).is_err());
+        for count in [MAX_UNREADABLE - 1, MAX_UNREADABLE] {
+            assert_eq!(list(count, "7").expect("a list"), (0, count));
+        }
+        let error = list(MAX_UNREADABLE + 1, "7").expect_err("no list").to_string();
+        assert!(error.starts_with("over 4096 entries that make no sense"), "{error}");
+    }
 }
--- a/crates/rookspoke/tests/large_lists.rs
+++ b/crates/rookspoke/tests/large_lists.rs
@@ -301,3 +301,29 @@
     assert!(used > 40, "{used} log workers were used");
     daemon.wait_counters("http", &["served=400", "connections_without_room=0"]);
 }
+
+/// The most memory that the process has held, in MB.
+fn peak_memory_mb(daemon: &Daemon) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.pid())).expect("a process");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    peak.trim().trim_end_matches(" kB").trim().parse::<u64>().expect("a number") / 1024
+}
+
+/// Some eight megabytes of entries of one byte each, and of spaces: the least memory that a deployment gives holds them.
+#[test]
+fn a_list_of_junk_takes_no_more_memory_than_the_least_deployment_gives() {
+    const LEAST_MB: u64 = 32;
+    let worker = Worker::serving("w-1");
+    for junk in ["7,".repeat(4_000_000), " ".repeat(12_000_000)] {
+        let discovery = Discovery::of(&[&worker]);
+        let daemon = Daemon::over(&discovery);
+        discovery.say(&format!("{{\"rev\":2,\"all\":false,\"targets\":[{junk}7]}}"));
+        wait_for("it to be turned down", || {
+            daemon.counters("http").contains(" lists_unusable=1 ").then_some(())
+        });
+        let peak = peak_memory_mb(&daemon);
+        assert!(peak <= LEAST_MB, "{peak} MB at the most");
+        // The next list is taken.
+        serves_until(daemon.address("http"), Instant::now() + Duration::from_millis(1_500));
+    }
+}
