Tests: a discovery that refuses calls keeps its port, and a stray call is named

Likely, not shown: the play gave its discovery's port back so that calls are refused, and a stand-in that starts meanwhile may get it; the other play's daemon, which asks for its list there, is then counted as a job. The play's other thread, which would have waited for its port in that case, is not waited for once the first has failed, so the log cannot tell. Change: the port is kept bound and refuses calls until discovery is back; the assertion is as strict and now names what came. If it comes again, its first line says who called.

--- a/crates/rookspoke/tests/scarce.rs
+++ b/crates/rookspoke/tests/scarce.rs
@@ -41,9 +41,10 @@
         serve(request, to, "fine");
         true
     });
-    let down = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = down.local_addr().expect("an address");
-    drop(down);
+    // Refuses every call, and keeps its port: another stand-in that got it would be called for lists.
+    let down = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    down.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let address = down.local_addr().expect("an address").as_socket().expect("an address");
     let mut config = config(address);
     config["known"] = json!({"rev": 1, "all": true, "targets": [worker.entry("active")]});
     config["settings"]["rules"]["ask_every_ms"] = 10_000.0.into();
@@ -69,7 +70,8 @@
     }
     // The list that comes now is found, though the crowd still presses.
     let other = Worker::serving("w-2");
-    let listener = wait_for("the port", || TcpListener::bind(address).ok());
+    down.listen(16).expect("a listener");
+    let listener = TcpListener::from(down);
     let list = json!({"rev": 2, "all": true, "targets": [worker.entry("leaving"), other.entry("active")]});
     let (mut stream, _) = listener.accept().expect("a call for the list");
     assert!(read_message(&mut BufReader::new(stream.try_clone().expect("a clone"))).is_some());
@@ -78,7 +80,9 @@
     stream.write_all(format!("{head}{:x}\r\n{text}\r\n", text.len()).as_bytes()).expect("sent");
     daemon.wait_counters("http", &["lists=1"]);
     let answer = ask(http, &post("log-lookup", "00000000000000a2", 5_000, ""));
-    assert_eq!((answer.status, other.count()), (200, 1));
+    let came: Vec<String> =
+        other.seen.lock().expect("requests").iter().map(|message| message.first.clone()).collect();
+    assert_eq!((answer.status, came.len()), (200, 1), "{came:?}");
     drop(idle);
 }
 
