Review: jobs that the Faktory front accepted are never handed out

Rule: what a running dispatcher has taken gets exactly one final answer before the client gives up; the Faktory front keeps the same rules.

A daemon with the Faktory front is restarted as planned, in a quiet moment. Then a club pushes 24 confirmations. All are answered with +OK; about half are handed out to the four connections that ask for work, the others never are within their 20 s. INFO counts them as refused, their producer is not told, and pushing one again is turned down.

The script of a case also ends what it started when it is stopped itself, within 118 s.

Nothing is fixed.

--- a/review/standins/src/bin/pipeline.rs
+++ b/review/standins/src/bin/pipeline.rs
@@ -59,7 +59,13 @@
         let listener = listener();
         let name = format!("s-{at}");
         let endpoint = listener.local_addr().unwrap();
-        targets.push(Target { uid: name.clone(), endpoint, zone: "bp-vaci".into(), kind: "std4".into(), rack: 1 });
+        targets.push(Target {
+            uid: name.clone(),
+            endpoint,
+            zone: "bp-vaci".into(),
+            kind: "std4".into(),
+            rack: 1,
+        });
         let (runs, record) = (runs.clone(), case.record.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -97,7 +103,12 @@
     let mut answers = Vec::new();
     while answers.len() < REQUESTS {
         let Some(answer) = read_message(&mut connection) else { break };
-        case.record.say(&format!("answer {}: {} {}", answers.len(), answer.status, String::from_utf8_lossy(&answer.body)));
+        case.record.say(&format!(
+            "answer {}: {} {}",
+            answers.len(),
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        ));
         answers.push(answer.status);
     }
     if case.trouble {
@@ -110,7 +121,8 @@
     }
     case.record.say(&format!("{} of {REQUESTS} requests were answered", answers.len()));
     if answers.len() < REQUESTS {
-        case.record.say("BROKEN: the connection ended with no answer to requests that were read before SIGTERM");
+        case.record
+            .say("BROKEN: the connection ended with no answer to requests that were read before SIGTERM");
         std::process::exit(1);
     }
     case.record.say("held: every request has its answer");
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -23,7 +23,8 @@
 impl Case {
     pub fn from_env() -> Self {
         let var = |name: &str| std::env::var(name).ok().filter(|text| !text.is_empty());
-        let path = |name: &str| PathBuf::from(var(name).unwrap_or_else(|| quit(&format!("{name} is not set"))));
+        let path =
+            |name: &str| PathBuf::from(var(name).unwrap_or_else(|| quit(&format!("{name} is not set"))));
         let (root, work, record) = (path("REVIEW_ROOT"), path("REVIEW_WORK"), path("REVIEW_RECORD"));
         Case {
             trouble: var("TROUBLE").as_deref() != Some("0"),
@@ -128,7 +129,8 @@
 fn run_command(case: &Case) -> String {
     let path = case.root.join("deploy/balancer.toml");
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| quit(&format!("{}: {e}", path.display())));
-    let run = text.lines().find_map(|line| line.strip_prefix("run = \"")?.split('"').next().map(str::to_owned));
+    let run =
+        text.lines().find_map(|line| line.strip_prefix("run = \"")?.split('"').next().map(str::to_owned));
     run.unwrap_or_else(|| quit("the deploy file has no `run`"))
 }
 
@@ -139,6 +141,7 @@
     pub listen: SocketAddr,
     folder: PathBuf,
     command: String,
+    pids: PathBuf,
     child: Option<Child>,
 }
 
@@ -152,7 +155,8 @@
         if !conf_file.is_empty() {
             std::fs::write(folder.join("deploy/rookspoke.conf"), conf_file).unwrap();
         }
-        Dispatcher { name: name.into(), listen, folder, command: run_command(case), child: None }
+        let (command, pids) = (run_command(case), case.work.join("pids"));
+        Dispatcher { name: name.into(), listen, folder, command, pids, child: None }
     }
 
     pub fn start(&mut self) {
@@ -164,7 +168,11 @@
         }
         command.env("PROXY_CONFIG", self.folder.join("config.json")).env("TMPDIR", self.folder.join("tmp"));
         command.stdout(Stdio::null()).stderr(log);
-        self.child = Some(command.spawn().unwrap_or_else(|e| quit(&format!("{}: {e}", self.name))));
+        let child = command.spawn().unwrap_or_else(|e| quit(&format!("{}: {e}", self.name)));
+        // run-case.sh ends these processes, should this one end before them.
+        let mut pids = File::options().append(true).create(true).open(&self.pids).unwrap();
+        let _ = writeln!(pids, "{}", child.id());
+        self.child = Some(child);
     }
 
     pub fn pid(&self) -> u32 {
@@ -199,7 +207,8 @@
             if let Some(ended) = self.ended() {
                 quit(&format!("{} ended at its start: {ended}", self.name));
             }
-            let answer = http(self.listen, "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            let answer =
+                http(self.listen, "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
             if answer.is_some_and(|answer| answer.status == 200) {
                 return;
             }
@@ -326,7 +335,8 @@
         return Some(());
     }
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    let first = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&format!("{list}\n")));
+    let first =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&format!("{list}\n")));
     writer.write_all(first.as_bytes()).ok()?;
     loop {
         std::thread::sleep(Duration::from_secs(2));
