Review: each run.sh reads TROUBLE itself, and nothing is built inside review

Each run.sh sets TROUBLE, so that its reader sees it; the shared script passed it on before. review/build.sh builds into the root's ignored `target`, so that no file of cargo lies in the folder of the review.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,8 +1,8 @@
-# Runs one stand-in program as a case: `. run-case.sh FOLDER PROGRAM`.
+# Runs one stand-in program as a case: `. run-case.sh FOLDER PROGRAM`, with TROUBLE set by the run.sh that calls it.
 set -u
 here=$(cd "$1" && pwd)
 root=$(cd "$here/../.." && pwd)
-program="$root/review/standins/target/release/$2"
+program="$root/target/review/release/$2"
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
 [ -x "$root/target/release/rookspoke" ] || { echo "run the build of deploy/balancer.toml first" >&2; exit 2; }
 work=$(mktemp -d) || exit 2
@@ -23,7 +23,7 @@
 trap 'exit 2' INT TERM HUP
 
 export REVIEW_ROOT="$root" REVIEW_WORK="$work" REVIEW_RECORD="$here/record.txt"
-export TROUBLE="${TROUBLE:-1}" SEED="${SEED:-1}"
+export TROUBLE SEED="${SEED:-1}"
 timeout 118 "$program" &
 started=$!
 wait "$started"
