Faktory: PUSH is answered +OK once a consumer has fetched the job, not before

Cause: `push` said +OK as soon as the first call attempt was offered to a consumer, that is, put down for its next FETCH. From then on the final answer of the core had no reader: the spawned task only logged it. Every refusal that is harmless to a waiting client lost a job here.

Ruled out as causes (they only decide how often): - the restart and the eight slots assumed of a new consumer: a consumer whose slots are known from five ACKs, and which pauses before its next FETCH, loses a job in the same way, without a restart (trial); - "too late to start": the small batch of the new test is lost by "likely_late", and the one job of the other new test by its deadline, 2.5 s before its latest start; - a lost wake-up of a waiting FETCH: the four connections were never idle while jobs were offered.

Change: `Call` keeps one state that offer, FETCH and producer share: pending, accepted or withdrawn. The FETCH that gets the job accepts it, and that alone leads to +OK; a refusal reaches the producer, which still waits. A producer that leaves withdraws its job at once, so that no FETCH between its end and the core's cancellation gets it. An id is remembered if the job was handed out. An offer ends 20 ms before the deadline, so that a job that nobody fetched is refused, not failed.

Why it works: a job cannot be accepted unless a consumer gets it in the same step, under the same lock.

--- a/crates/faktory/src/lib.rs
+++ b/crates/faktory/src/lib.rs
@@ -1,8 +1,9 @@
 //! The Faktory front: a work server for producers and consumers, with a dispatcher core of its own.
 //!
 //! A PUSH is a request, a consumer is a log worker on the core's list, and a call attempt waits for that
-//! consumer's FETCH. ACK and FAIL end it.
+//! consumer's FETCH. The first FETCH that gets the job accepts it; ACK and FAIL end it.
 
+mod call;
 mod codec;
 mod registry;
 mod server;
--- a/crates/faktory/src/registry.rs
+++ b/crates/faktory/src/registry.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::{oneshot, Notify};
 
+use super::call::Call;
 use super::codec::Job;
 use rookspoke_decisions::{Listing, LoadReport, Name, Outcome, Readiness, Time};
 use rookspoke_dispatch::AttemptResult;
@@ -23,7 +24,7 @@
 /// A call attempt that waits for its consumer's FETCH.
 struct Offer {
     id: OfferId,
-    job: Arc<Job>,
+    call: Call,
     deadline: Time,
     result: oneshot::Sender<OfferResult>,
 }
@@ -91,20 +92,15 @@
     }
 
     /// Offers a job to a consumer. The receiver gets the result of the offer.
-    pub fn offer(
-        &self,
-        wid: &Name,
-        job: Arc<Job>,
-        deadline: Time,
-    ) -> (OfferId, oneshot::Receiver<OfferResult>) {
+    pub fn offer(&self, wid: &Name, call: Call, deadline: Time) -> (OfferId, oneshot::Receiver<OfferResult>) {
         let (result, receiver) = oneshot::channel();
         let mut state = self.lock();
         state.last_offer_id += 1;
         let id = state.last_offer_id;
         let banned = state.banned.contains(wid);
         match state.consumers.get_mut(wid).filter(|c| c.listed && !c.draining && !banned) {
-            Some(consumer) if consumer.queues.contains(&job.queue) => {
-                consumer.offers.push(Offer { id, job, deadline, result });
+            Some(consumer) if consumer.queues.contains(&call.job.queue) => {
+                consumer.offers.push(Offer { id, call, deadline, result });
                 self.changed.notify_waiters();
             }
             // The consumer left, drains, is banned or does not serve this queue: the job was not handed out.
@@ -165,11 +161,13 @@
             (!std::mem::replace(&mut consumer.listed, true)).then(|| listing(wid, Readiness::InService));
         // Checked when the job is handed out: one past its deadline, or whose attempt was cancelled, must not run.
         consumer.offers.retain(|offer| offer.deadline > now && !offer.result.is_closed());
-        let index = queues
-            .iter()
-            .find_map(|queue| consumer.offers.iter().position(|offer| offer.job.queue == *queue));
-        let Some(index) = index else { return (Fetch::Empty, added) };
-        let Offer { id, job, result: offer_result, .. } = consumer.offers.remove(index);
+        // Skips a job whose producer was told otherwise or has left, though the core still offers it.
+        let accepted = |queue: &String| {
+            let offers = &consumer.offers;
+            offers.iter().position(|offer| offer.call.job.queue == *queue && offer.call.accept())
+        };
+        let Some(index) = queues.iter().find_map(accepted) else { return (Fetch::Empty, added) };
+        let Offer { id, call: Call { job, .. }, result: offer_result, .. } = consumer.offers.remove(index);
         let (result, outcome) = oneshot::channel();
         let (jid, wid) = (job.jid.clone(), wid.clone());
         state.reservations.push(Reservation { id, jid, wid, result });
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -8,14 +8,15 @@
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
+use super::call::Call;
 use super::codec::{Beat, Codec, Command, CommandError, Job, Reply, VERSION};
 use super::registry::{ConsumerRegistry, Fetch};
-use super::transport::{deadline, Call, ConsumerTransport};
+use super::transport::{deadline, ConsumerTransport};
 use super::{front_settings, FaktoryConfig};
 use rookspoke_decisions::{
     Ban, ClassId, Effect, ListScope, Listing, Name, Outcome, Settings, SettingsError, Span,
@@ -256,15 +257,15 @@
 /// An open job. Dropping it closes the job: its final answer has arrived, or nobody waits for it any more.
 struct OpenJob {
     shared: Arc<Shared>,
-    job: Arc<Job>,
+    call: Call,
     /// Its class must not run twice.
     at_most_once: bool,
-    accepted: bool,
 }
 
 impl Drop for OpenJob {
     fn drop(&mut self) {
-        self.shared.finish(&self.job.jid, self.at_most_once && self.accepted);
+        let handed_out = !self.call.withdraw();
+        self.shared.finish(&self.call.job.jid, self.at_most_once && handed_out);
     }
 }
 
@@ -391,11 +392,10 @@
             return reject(format!("job {} was pushed before", job.jid));
         }
         let at_most_once = classes[class].effect == Effect::Unsafe;
-        let job = Arc::new(job);
-        let mut open_job =
-            OpenJob { shared: shared.clone(), job: job.clone(), at_most_once, accepted: false };
+        let (call, accepted) = Call::new(job);
+        let open_job = OpenJob { shared: shared.clone(), call: call.clone(), at_most_once };
+        let job = call.job.clone();
         let time_left = job.custom.time_left_ms.map_or(shared.class_deadlines[class], Duration::from_millis);
-        let (accept, accepted) = oneshot::channel();
         let submission = Submission {
             class: ClassId(class),
             tenant: None,
@@ -405,8 +405,8 @@
             slots: job.custom.slots.unwrap_or(1.0),
             memory: 0.0,
             deadline: deadline(shared.clock.now(), time_left),
-            call: Call::new(job.clone(), accept),
             span: request_span(&job.jid, &job.jobtype),
+            call,
         };
         let handle = shared.handle.clone();
         let mut answer = Box::pin(async move { handle.submit(submission).await });
@@ -414,25 +414,23 @@
             // Polls the answer first: if both are ready, the job is finished.
             biased;
             answer = &mut answer => {
-                // Only a refused job may be pushed again.
-                open_job.accepted = !matches!(answer, Answer::Refused { .. });
                 return Some(match answer {
                     Answer::Served(()) => Reply::ok(),
                     Answer::Refused { retry_after } => Reply::Error(unavailable(retry_after)),
                     Answer::Failed => Reply::Error(format!("job {} failed", job.jid)),
                 });
             }
+            // From here on the producer hears nothing more of the job, so a consumer has to have it.
+            _ = accepted => {}
             // A producer without a reply may push the job again, so the request is dropped.
-            () = self.client_disconnected() => return None,
-            notified = accepted => if notified.is_err() {
-                return Some(Reply::Error("the core has ended".into()));
+            () = self.client_disconnected() => if open_job.call.withdraw() {
+                return None;
             },
         }
-        open_job.accepted = true;
         tokio::spawn(async move {
             let answer = answer.await;
             if answer != Answer::Served(()) {
-                tracing::warn!("job {} was accepted but not served: {answer:?}", open_job.job.jid);
+                tracing::warn!("job {} was accepted but not served: {answer:?}", open_job.call.job.jid);
             }
             drop(open_job);
         });
--- a/crates/faktory/src/transport.rs
+++ b/crates/faktory/src/transport.rs
@@ -1,37 +1,19 @@
 //! The core's transport: a call attempt is an offer to one consumer, then a reservation.
 
 use std::future::Future;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::codec::Job;
+use super::call::Call;
 use super::registry::{ConsumerRegistry, OfferId, OfferResult};
 use rookspoke_decisions::{AttemptUpdate, Name, Outcome, Time};
 use rookspoke_dispatch::{AttemptResult, CallAttempt, Clock, Handle, ProbeResult, Transport};
 
-/// A job as the core passes it to the transport.
-#[derive(Clone, Debug)]
-pub struct Call {
-    pub job: Arc<Job>,
-    /// Notified once, by the first call attempt: from then on the job is accepted.
-    accepted: Arc<Mutex<Option<oneshot::Sender<()>>>>,
-}
-
-impl Call {
-    pub fn new(job: Arc<Job>, accepted: oneshot::Sender<()>) -> Self {
-        Call { job, accepted: Arc::new(Mutex::new(Some(accepted))) }
-    }
-
-    fn accept(&self) {
-        let sender = self.accepted.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take();
-        if let Some(sender) = sender {
-            let _ = sender.send(());
-        }
-    }
-}
+/// An offer that nobody fetched ends this long before the deadline, early enough for the core to refuse its job: what
+/// is still offered at the deadline counts as possibly run.
+const OFFER_MARGIN: Duration = Duration::from_millis(20);
 
 /// Transport of the core that hands jobs out to consumers.
 pub struct ConsumerTransport {
@@ -63,11 +45,10 @@
         let (clock, claim_timeout) = (self.clock, self.claim_timeout);
         async move {
             let CallAttempt { request, attempt: number, worker, deadline, call, .. } = attempt;
-            call.accept();
             let reserve_for = call.job.reserve_for;
-            let (offer_id, offer_result) = registry.offer(&worker, call.job, deadline);
+            let (offer_id, offer_result) = registry.offer(&worker, call, deadline);
             let _cancel = CancelOnDrop(registry.clone(), offer_id);
-            let fetch_timeout = claim_timeout.min(clock.until(deadline));
+            let fetch_timeout = claim_timeout.min(clock.until(deadline).saturating_sub(OFFER_MARGIN));
             let outcome = match timeout(fetch_timeout, offer_result).await {
                 Ok(Ok(OfferResult::Fetched(outcome))) => outcome,
                 Ok(Ok(OfferResult::NotFetched(outcome))) => return outcome.into(),
--- a/crates/rookspoke/tests/common/faktory.rs
+++ b/crates/rookspoke/tests/common/faktory.rs
@@ -10,6 +10,11 @@
 /// A configuration file that enables the Faktory front.
 pub const FRONT_ENABLED: &str = "faktory {\n listen 127.0.0.1:0\n reconnect 100ms\n}\n";
 
+/// [`FRONT_ENABLED`] with further settings of the section `faktory`.
+pub fn front_with(settings: &str) -> String {
+    FRONT_ENABLED.replace('}', &format!(" {settings}\n}}"))
+}
+
 /// Starts a daemon whose Faktory front is enabled by this configuration file, and which reaches no log worker.
 pub fn start_daemon(config_file: &str) -> Daemon {
     let unreachable_discovery = "127.0.0.1:9".parse().expect("an address");
@@ -109,3 +114,11 @@
         info["faktory"].clone()
     }
 }
+
+/// Pushes a job that this consumer fetches. The consumer must have sent FETCH; should that have ended without a job
+/// meanwhile, it is sent again.
+pub fn deliver(producer: &mut Peer, consumer: &mut Peer, job: &Value) {
+    producer.send(&format!("PUSH {job}"));
+    assert_eq!(consumer.fetch_pending(), *job);
+    assert_eq!(producer.reply(), "+OK");
+}
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -2,6 +2,12 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
 use common::faktory::*;
 use common::world::*;
 
@@ -77,6 +83,80 @@
     daemon.wait_counters("faktory", &["taken=2", "refused=2", "sent=0"]);
 }
 
+/// Guards against accepted jobs that nobody gets: once a producer has read +OK it hears nothing more of the job.
+#[test]
+fn a_job_that_no_consumer_fetches_in_time_is_refused_to_its_producer() {
+    let daemon = start_daemon(&front_with("claim 100ms"));
+    let mut busy = fetching_consumer(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    deliver(&mut producer, &mut busy, &job("job-00000001", "qso-confirm"));
+    let mut waiting = job("job-00000002", "qso-confirm");
+    waiting["custom"] = serde_json::json!({"time_left_ms": 3000});
+    let reply = producer.push(&waiting);
+    assert!(reply.starts_with("-ERR unavailable"), "pushed while the only consumer was busy: {reply}");
+    daemon.wait_counters("faktory", &["taken=2", "refused=1", "sent=2", "written=1"]);
+    assert_eq!(busy.call("FETCH default"), "nil", "a refused job is not handed out");
+    assert_eq!(busy.ack("job-00000001"), "+OK");
+    // A refused job may be pushed again.
+    waiting["custom"] = serde_json::json!({});
+    busy.send("FETCH default");
+    deliver(&mut producer, &mut busy, &waiting);
+    assert_eq!(busy.ack("job-00000002"), "+OK");
+    daemon.wait_counters("faktory", &["taken=3", "served=2", "refused=1", "failed=0"]);
+}
+
+/// Guards against the loss of a batch at a daemon that does not know yet how many jobs its consumers take at a time.
+#[test]
+fn each_accepted_job_of_a_batch_after_a_restart_is_handed_out_once() {
+    const RUN_TIME: Duration = Duration::from_millis(200);
+    const BATCH: usize = 24;
+    let mut settings = platform_config("127.0.0.1:9".parse().expect("an address"));
+    settings["settings"]["classes"][1]["goal_time_ms"] = 150.0.into();
+    let daemon = Daemon::start(&settings, Some(&front_with("claim 250ms")));
+    let at = daemon.address("faktory");
+    let handed_out: Arc<Mutex<BTreeMap<String, usize>>> = Arc::default();
+    let end = Arc::new(AtomicBool::new(false));
+    // Two consumers, which work on two jobs each.
+    let consumers: Vec<_> = ["c-1", "c-1", "c-2", "c-2"]
+        .into_iter()
+        .map(|wid| {
+            let (mut consumer, handed_out, end) = (Peer::consumer(at, wid), handed_out.clone(), end.clone());
+            thread::spawn(move || {
+                while !end.load(Ordering::Relaxed) {
+                    let reply = consumer.call("FETCH default");
+                    let Ok(job) = serde_json::from_str::<serde_json::Value>(&reply) else { continue };
+                    let jid = job["jid"].as_str().expect("a jid").to_owned();
+                    *handed_out.lock().expect("jobs").entry(jid.clone()).or_default() += 1;
+                    thread::sleep(RUN_TIME);
+                    assert_eq!(consumer.ack(&jid), "+OK");
+                }
+            })
+        })
+        .collect();
+    let mut producer = Peer::producer(at);
+    wait_for("consumers", || (producer.info()["listed"].as_array()?.len() == 2).then_some(()));
+    let mut open: Vec<String> = (0..BATCH).map(|number| format!("batch-{number:04}")).collect();
+    let start = Instant::now();
+    while !open.is_empty() {
+        open.retain(|jid| producer.push(&job(jid, "qso-confirm")) != "+OK");
+        assert!(start.elapsed() < TEST_TIMEOUT, "not accepted: {open:?}");
+    }
+    wait_for("the end of all jobs", || (open_jobs(&mut producer) == 0).then_some(()));
+    end.store(true, Ordering::Relaxed);
+    consumers.into_iter().for_each(|consumer| consumer.join().expect("a consumer"));
+    let handed_out = handed_out.lock().expect("jobs");
+    let wrong = |number: &usize| handed_out.get(&format!("batch-{number:04}")) != Some(&1);
+    let wrong: Vec<usize> = (0..BATCH).filter(wrong).collect();
+    assert!(wrong.is_empty(), "accepted, and not handed out exactly once: {wrong:?} of {handed_out:?}");
+}
+
+/// Number of jobs that the daemon took and has not answered.
+fn open_jobs(observer: &mut Peer) -> i64 {
+    let info = observer.info();
+    let count = |name: &str| info[name].as_i64().expect("a count");
+    count("taken") - count("served") - count("refused") - count("failed") - count("client_gone")
+}
+
 /// A producer that has left before the reply does not know that its job was accepted and may push it elsewhere, so no
 /// consumer may get it. The daemon must notice this even if other bytes follow the PUSH.
 #[test]
@@ -95,9 +175,8 @@
     let mut consumer = Peer::consumer(at, "c-1");
     assert_eq!(consumer.call("FETCH default"), "nil", "handed out for a producer that had left");
     let mut staying = Peer::producer(at);
-    assert_eq!(staying.push(&job("job-stays", "log-lookup")), "+OK");
     consumer.send("FETCH default");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-stays");
+    deliver(&mut staying, &mut consumer, &job("job-stays", "log-lookup"));
     assert_eq!(consumer.ack("job-stays"), "+OK");
     daemon.wait_counters("faktory", &["taken=5", "client_gone=4", "served=1"]);
 }
@@ -126,8 +205,7 @@
     let daemon = start_daemon(FRONT_ENABLED);
     let mut first = fetching_consumer(&daemon, "c-1");
     let mut producer = Peer::producer(daemon.address("faktory"));
-    assert_eq!(producer.push(&job("job-00000001", "log-lookup")), "+OK");
-    assert_eq!(first.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut first, &job("job-00000001", "log-lookup"));
     let mut second = fetching_consumer(&daemon, "c-2");
     drop(first);
     assert_eq!(second.fetch_pending()["jid"], "job-00000001");
@@ -141,8 +219,7 @@
     let daemon = start_daemon("faktory {\n listen 127.0.0.1:0\n reconnect 1min\n}\n");
     let mut first = fetching_consumer(&daemon, "c-1");
     let to = daemon.address("faktory");
-    assert_eq!(Peer::producer(to).push(&job("job-00000001", "qso-confirm")), "+OK");
-    assert_eq!(first.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut Peer::producer(to), &mut first, &job("job-00000001", "qso-confirm"));
     drop(first);
     assert_eq!(Peer::consumer(to, "c-1").ack("job-00000001"), "+OK");
     daemon.wait_counters("faktory", &["taken=1", "served=1", "failed=0", "late_reports=0"]);
@@ -172,8 +249,7 @@
     let daemon = start_daemon(FRONT_ENABLED);
     let mut consumer = fetching_consumer(&daemon, "c-1");
     let mut producer = Peer::producer(daemon.address("faktory"));
-    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut consumer, &job("job-00000001", "qso-confirm"));
     let replies = [consumer.ack("job-00000001"), consumer.ack("job-00000001"), consumer.fail("job-00000001")];
     assert_eq!(replies, ["+OK", "+OK", "+OK"]);
     daemon.wait_counters("faktory", &["taken=1", "served=1", "failed=0", "late_reports=2"]);
@@ -192,8 +268,7 @@
     let mut other = fetching_consumer(&daemon, "c-2");
     for at in 0..5 {
         let jid = format!("job-{at:08}");
-        assert_eq!(producer.push(&job(&jid, "qso-confirm")), "+OK");
-        assert_eq!(other.fetch_pending()["jid"], jid);
+        deliver(&mut producer, &mut other, &job(&jid, "qso-confirm"));
         assert_eq!(other.ack(&jid), "+OK");
         other.send("FETCH default");
         assert_eq!(draining.call("FETCH default"), "nil");
@@ -208,8 +283,7 @@
     let mut producer = Peer::producer(daemon.address("faktory"));
     let mut job = job("job-00000001", "qso-confirm");
     job["custom"] = serde_json::json!({"time_left_ms": 400});
-    assert_eq!(producer.push(&job), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut consumer, &job);
     daemon.wait_counters("faktory", &["taken=1", "failed=1"]);
     assert_eq!(consumer.ack("job-00000001"), "+OK");
     daemon.wait_counters("faktory", &["taken=1", "failed=1", "served=0", "late_reports=1"]);
@@ -223,8 +297,7 @@
     let mut producer = Peer::producer(daemon.address("faktory"));
     let mut job = job("job-00000001", "qso-confirm");
     job["reserve_for"] = 0.into();
-    assert_eq!(producer.push(&job), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut consumer, &job);
     daemon.wait_counters("faktory", &["taken=1", "failed=1", "sent=1"]);
 }
 
@@ -233,8 +306,7 @@
     let mut daemon = start_daemon(FRONT_ENABLED);
     let mut consumer = fetching_consumer(&daemon, "c-1");
     let mut producer = Peer::producer(daemon.address("faktory"));
-    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut consumer, &job("job-00000001", "qso-confirm"));
     daemon.signal("TERM");
     wait_for("a refusal", || {
         producer.push(&job("job-00000002", "no-such")).contains("about to end").then_some(())
@@ -250,8 +322,7 @@
     let mut daemon = start_daemon(FRONT_ENABLED);
     let mut consumer = fetching_consumer(&daemon, "c-1");
     let mut producer = Peer::producer(daemon.address("faktory"));
-    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut consumer, &job("job-00000001", "qso-confirm"));
     let mut others: Vec<Peer> = (2..12).map(|n| fetching_consumer(&daemon, &format!("c-{n}"))).collect();
     daemon.signal("TERM");
     wait_for("a refusal", || {
@@ -292,8 +363,7 @@
     let daemon = Daemon::spawn((command, folder));
     let mut consumer = fetching_consumer(&daemon, "c-1");
     let mut producer = Peer::producer(daemon.address("faktory"));
-    assert_eq!(producer.push(&job("job-00000001", "qso-confirm")), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000001");
+    deliver(&mut producer, &mut consumer, &job("job-00000001", "qso-confirm"));
     let call = |to: &str| daemon.console_call("PUT", &format!("log-workers/c-1/{to}")).status;
     assert_eq!(call("offline"), 200);
     assert_eq!(consumer.ack("job-00000001"), "+OK");
@@ -301,7 +371,6 @@
     assert_eq!(consumer.call("FETCH default"), "nil");
     assert_eq!(call("online"), 200);
     consumer.send("FETCH default");
-    assert_eq!(producer.push(&job("job-00000003", "qso-confirm")), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000003");
+    deliver(&mut producer, &mut consumer, &job("job-00000003", "qso-confirm"));
     assert_eq!((daemon.metric("passed.qso-confirm"), daemon.metric("upstream_tries")), (1, 2));
 }
--- a/crates/rookspoke/tests/vrrp.rs
+++ b/crates/rookspoke/tests/vrrp.rs
@@ -39,8 +39,7 @@
     consumer.send("FETCH default");
     let mut producer = Peer::producer(high_priority.address("faktory"));
     wait_for("a consumer", || producer.info()["listed"].as_array()?.first().map(drop));
-    assert_eq!(producer.push(&job("job-00000002", "qso-confirm")), "+OK");
-    assert_eq!(consumer.fetch_pending()["jid"], "job-00000002");
+    deliver(&mut producer, &mut consumer, &job("job-00000002", "qso-confirm"));
     // Unreadable packets, and those from addresses that are no peers, are dropped.
     let foreign = UdpSocket::bind("127.0.0.1:0").expect("a port");
     foreign.send_to(b"nonsense", backup_port).expect("sent");
