Faktory: a push that waits as its server becomes the backup is refused at once

Change: once the server is not the master, a job that no consumer has is withdrawn and the core refuses its request (`Handle::submit_revocable`); the producer hears the reason that a new PUSH would. What a consumer has stays as it is, and so does a job that is fetched in the same moment: withdrawal and acceptance exclude each other. The core ends requests without the decisions in one function now, which stood three times.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -139,6 +139,7 @@
 enum Input<C, R> {
     Submit(RequestId, Submission<C>, oneshot::Sender<Answer<R>>),
     ClientGone(RequestId),
+    Revoke(RequestId),
     Progress(RequestId, usize, AttemptUpdate),
     List(ListScope, Arc<[Listing]>),
 }
@@ -189,8 +190,18 @@
 impl<C: Send + 'static, R: Send + 'static> Handle<C, R> {
     /// Submits a request and waits for its final answer. Dropping the future tells the core that the client left.
     pub async fn submit(&self, submission: Submission<C>) -> Answer<R> {
+        self.submit_revocable(submission, std::future::pending()).await
+    }
+
+    /// Like [`Handle::submit`], but the request is refused once `revoked` completes. The front makes sure that none of
+    /// its call attempts has run or can run then.
+    pub async fn submit_revocable(
+        &self,
+        submission: Submission<C>,
+        revoked: impl Future<Output = ()>,
+    ) -> Answer<R> {
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
-        let (answer, answered) = oneshot::channel();
+        let (answer, mut answered) = oneshot::channel();
         let permits = (self.queue.clone().try_reserve_owned(), self.queue.clone().try_reserve_owned());
         // The queue is full. Nothing was accepted and nothing ran, so the request may be refused.
         let (Ok(submit_permit), Ok(gone_permit)) = permits else {
@@ -198,7 +209,14 @@
         };
         submit_permit.send(Input::Submit(id, submission, answer));
         let mut guard = ClientGoneGuard(Some((id, gone_permit)));
-        let answer = answered.await;
+        let answer = tokio::select! {
+            biased;
+            answer = &mut answered => answer,
+            () = revoked => {
+                let _ = self.queue.send(Input::Revoke(id)).await;
+                answered.await
+            }
+        };
         guard.0 = None;
         // The core ended before it answered, so it is unknown whether the request ran.
         answer.unwrap_or(Answer::Failed)
--- a/crates/dispatch/src/task.rs
+++ b/crates/dispatch/src/task.rs
@@ -223,12 +223,13 @@
                 }));
             }
             Input::ClientGone(id) => {
-                if self.ledger.answer(id, None) {
+                if self.close(id, None) {
                     self.counters.client_gone.increment();
-                    self.finish_candidates.push(id);
-                    self.events.push_back(Event::ClientGone(id));
                 }
             }
+            Input::Revoke(id) => {
+                self.close(id, Some(Answer::Refused { retry_after: None }));
+            }
             Input::Progress(request, attempt, update) => {
                 let entry = self.ledger.get_mut(request);
                 let running = entry.and_then(|e| e.attempts.get(attempt)).is_some_and(|a| a.abort.is_some());
@@ -249,6 +250,18 @@
         }
     }
 
+    /// Ends a request without the decisions, with its answer or because its client has left. Returns false if it had
+    /// already ended.
+    fn close(&mut self, id: RequestId, answer: Option<Answer<T::Reply>>) -> bool {
+        let ended = self.ledger.answer(id, answer);
+        if ended {
+            self.finish_candidates.push(id);
+            // To the decisions the request is over either way: they cancel its attempts.
+            self.events.push_back(Event::ClientGone(id));
+        }
+        ended
+    }
+
     /// Handles the end of a call attempt or a probe: a result, a cancellation or a panic in the transport.
     fn on_operation_end(&mut self, joined: Result<(Id, OperationResult<T::Reply>), JoinError>) {
         let id = joined.as_ref().map_or_else(JoinError::id, |(id, _)| *id);
@@ -436,9 +449,7 @@
                 );
             }
             self.counters.overdue.increment();
-            self.ledger.answer(id, Some(Answer::Failed));
-            self.finish_candidates.push(id);
-            self.events.push_back(Event::ClientGone(id));
+            self.close(id, Some(Answer::Failed));
         }
     }
 }
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -224,6 +224,23 @@
         self.jids.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Why new jobs are rejected at the moment, if they are.
+    fn rejects_jobs(&self) -> Option<&'static str> {
+        if *self.phase.borrow() > Phase::Serving {
+            return Some("this server is about to end: push elsewhere");
+        }
+        (!*self.active.borrow()).then_some("this server is a backup: push to the master")
+    }
+
+    /// Completes once this server has become the backup and the job, which no consumer had, has been withdrawn:
+    /// consumers fetch from the new master from then on.
+    async fn withdrawn_by_handover(&self, call: Call) {
+        let is_backup = self.active.clone().wait_for(|active| !active).await.is_ok();
+        if !(is_backup && call.withdraw()) {
+            std::future::pending().await
+        }
+    }
+
     /// Registers an open job; false if its id is known already.
     fn register(&self, jid: &str) -> bool {
         let mut jids = self.jids();
@@ -378,11 +395,8 @@
             shared.handle.counters().turned_down.increment();
             Some(Reply::Error(reason))
         };
-        if *shared.phase.borrow() > Phase::Serving {
-            return reject("this server is about to end: push elsewhere".into());
-        }
-        if !*shared.active.borrow() {
-            return reject("this server is a backup: push to the master".into());
+        if let Some(reason) = shared.rejects_jobs() {
+            return reject(reason.into());
         }
         let classes = &shared.settings.classes;
         let Some(class) = classes.iter().position(|c| c.name.as_ref() == job.jobtype) else {
@@ -408,20 +422,26 @@
             span: request_span(&job.jid, &job.jobtype),
             call,
         };
-        let handle = shared.handle.clone();
-        let mut answer = Box::pin(async move { handle.submit(submission).await });
+        let submitter = shared.clone();
+        let mut answer = Box::pin(async move {
+            let withdrawn = submitter.withdrawn_by_handover(submission.call.clone());
+            submitter.handle.submit_revocable(submission, withdrawn).await
+        });
         tokio::select! {
             // Polls the answer first: if both are ready, the job is finished.
             biased;
             answer = &mut answer => {
                 return Some(match answer {
                     Answer::Served(()) => Reply::ok(),
-                    Answer::Refused { retry_after } => Reply::Error(unavailable(retry_after)),
+                    Answer::Refused { retry_after } => {
+                        let reason = shared.rejects_jobs().map(str::to_owned);
+                        Reply::Error(reason.unwrap_or_else(|| unavailable(retry_after)))
+                    }
                     Answer::Failed => Reply::Error(format!("job {} failed", job.jid)),
                 });
             }
             // From here on the producer hears nothing more of the job, so a consumer has to have it.
-            _ = accepted => {}
+            Ok(()) = accepted => {}
             // A producer without a reply may push the job again, so the request is dropped.
             () = self.client_disconnected() => if open_job.call.withdraw() {
                 return None;
--- a/crates/rookspoke/tests/common/faktory.rs
+++ b/crates/rookspoke/tests/common/faktory.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{json, Value};
 
-use super::world::{platform_config, send, Daemon};
+use super::world::{platform_config, send, wait_for, Daemon};
 
 /// A configuration file that enables the Faktory front.
 pub const FRONT_ENABLED: &str = "faktory {\n listen 127.0.0.1:0\n reconnect 100ms\n}\n";
@@ -122,3 +122,13 @@
     assert_eq!(consumer.fetch_pending(), *job);
     assert_eq!(producer.reply(), "+OK");
 }
+
+/// Connects a consumer and sends FETCH; returns once the daemon lists the consumer as waiting for a job.
+pub fn fetching_consumer(daemon: &Daemon, wid: &str) -> Peer {
+    let to = daemon.address("faktory");
+    let mut consumer = Peer::consumer(to, wid);
+    consumer.send("FETCH default");
+    let mut observer = Peer::producer(to);
+    wait_for("the consumer", || observer.info()["listed"].as_array()?.iter().any(|w| w == wid).then_some(()));
+    consumer
+}
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -11,16 +11,6 @@
 use common::faktory::*;
 use common::world::*;
 
-/// Connects a consumer and sends FETCH; returns once the daemon lists the consumer as waiting for a job.
-fn fetching_consumer(daemon: &Daemon, wid: &str) -> Peer {
-    let to = daemon.address("faktory");
-    let mut consumer = Peer::consumer(to, wid);
-    consumer.send("FETCH default");
-    let mut observer = Peer::producer(to);
-    wait_for("the consumer", || observer.info()["listed"].as_array()?.iter().any(|w| w == wid).then_some(()));
-    consumer
-}
-
 #[test]
 fn a_job_is_handed_to_a_consumer_unchanged() {
     let daemon = start_daemon(FRONT_ENABLED);
--- a/crates/rookspoke/tests/vrrp.rs
+++ b/crates/rookspoke/tests/vrrp.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 
 use common::faktory::*;
 use common::world::*;
@@ -18,13 +18,16 @@
     )
 }
 
+/// The configuration files of a pair, the one of higher priority first, and the address of the other one's VRRP.
+fn pair() -> ([String; 2], SocketAddr) {
+    let [high, low] = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").expect("a port"));
+    let config_files = [config_file(&high, &low, 200), config_file(&low, &high, 100)];
+    (config_files, low.local_addr().expect("an address"))
+}
+
 #[test]
 fn only_the_master_accepts_jobs_and_the_backup_takes_over_when_it_ends() {
-    let sockets = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").expect("a port"));
-    let config_files =
-        [config_file(&sockets[0], &sockets[1], 200), config_file(&sockets[1], &sockets[0], 100)];
-    let backup_port = sockets[1].local_addr().expect("an address");
-    drop(sockets);
+    let (config_files, backup_port) = pair();
     let (mut high_priority, low_priority) = (start_daemon(&config_files[0]), start_daemon(&config_files[1]));
     high_priority.wait_log("vrrp: master");
     // The daemon of lower priority may have been the master for a moment, if it started much earlier.
@@ -35,10 +38,8 @@
     let mut idle = Peer::consumer(low_priority.address("faktory"), "c-0");
     assert_eq!(idle.call("FETCH default"), "-ERR this server is a backup: fetch from the master");
 
-    let mut consumer = Peer::consumer(high_priority.address("faktory"), "c-1");
-    consumer.send("FETCH default");
+    let mut consumer = fetching_consumer(&high_priority, "c-1");
     let mut producer = Peer::producer(high_priority.address("faktory"));
-    wait_for("a consumer", || producer.info()["listed"].as_array()?.first().map(drop));
     deliver(&mut producer, &mut consumer, &job("job-00000002", "qso-confirm"));
     // Unreadable packets, and those from addresses that are no peers, are dropped.
     let foreign = UdpSocket::bind("127.0.0.1:0").expect("a port");
@@ -53,3 +54,25 @@
     assert!(high_priority.wait_log("faktory counters at exit").contains("served=1 "));
     assert!(low_priority_producer.push(&job("job-00000003", "no-such")).contains("is not known"));
 }
+
+/// Guards against a job that waits for a consumer as its server becomes the backup, where no consumer fetches any more.
+#[test]
+fn a_push_that_waits_at_a_hand_over_is_refused_and_runs_at_the_new_master() {
+    let ([high_priority, low_priority], _) = pair();
+    let low_priority = start_daemon(&low_priority.replace("reconnect", "claim 1min\n reconnect"));
+    low_priority.wait_log("vrrp: master");
+    let mut busy = fetching_consumer(&low_priority, "c-1");
+    let mut producer = Peer::producer(low_priority.address("faktory"));
+    deliver(&mut producer, &mut busy, &job("job-00000001", "qso-confirm"));
+    let waiting = job("job-00000002", "qso-confirm");
+    producer.send(&format!("PUSH {waiting}"));
+    low_priority.wait_counters("faktory", &["taken=2", "sent=2"]);
+    let high_priority = start_daemon(&high_priority);
+    high_priority.wait_log("vrrp: master");
+    assert_eq!(producer.reply(), "-ERR this server is a backup: push to the master");
+    assert_eq!(busy.call("FETCH default"), "-ERR this server is a backup: fetch from the master");
+    assert_eq!(busy.ack("job-00000001"), "+OK");
+    low_priority.wait_counters("faktory", &["taken=2", "served=1", "refused=1", "client_gone=0"]);
+    let mut consumer = fetching_consumer(&high_priority, "c-1");
+    deliver(&mut Peer::producer(high_priority.address("faktory")), &mut consumer, &waiting);
+}
