Test: a job fetched as its producer leaves is not run twice

The producer of a job that is offered leaves while the consumer's FETCH arrives, both found by the daemon in one moment (SIGSTOP, SIGCONT); then the job is pushed again. Either nobody got it and the new push is accepted, or the new push is rejected: 20 rounds, and the jobs handed out are counted.

--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -171,6 +171,38 @@
     daemon.wait_counters("faktory", &["taken=5", "client_gone=4", "served=1"]);
 }
 
+/// Guards against a second run: the producer leaves as a consumer fetches its job, and pushes the job again.
+#[test]
+fn a_job_fetched_as_its_producer_leaves_does_not_run_twice() {
+    const ROUNDS: usize = 20;
+    let daemon = start_daemon(FRONT_ENABLED);
+    let at = daemon.address("faktory");
+    for round in 0..ROUNDS {
+        let mut consumer = fetching_consumer(&daemon, &format!("c-{round}"));
+        // From now on the consumer is known, and does not fetch.
+        let earlier = job(&format!("earlier-{round}"), "log-lookup");
+        deliver(&mut Peer::producer(at), &mut consumer, &earlier);
+        assert_eq!(consumer.ack(&format!("earlier-{round}")), "+OK");
+        let pushed = job(&format!("job-{round:08}"), "qso-confirm");
+        let mut leaving = Peer::producer(at);
+        leaving.send(&format!("PUSH {pushed}"));
+        wait_for("the offer", || (Peer::producer(at).info()["offered"] == 1).then_some(()));
+        let mut again = Peer::producer(at);
+        // The daemon finds both when it goes on.
+        daemon.signal("STOP");
+        leaving.send_and_close("");
+        consumer.send("FETCH default");
+        daemon.signal("CONT");
+        wait_for("the offer to end", || (again.info()["offered"] == 0).then_some(()));
+        again.send(&format!("PUSH {pushed}"));
+        assert_eq!(consumer.fetch_pending(), pushed);
+        consumer.send("FETCH default");
+        let reply = again.reply();
+        assert!(reply == "+OK" || reply.ends_with("was pushed before"), "pushed again: {reply}");
+    }
+    daemon.wait_counters("faktory", &[&format!("written={}", 2 * ROUNDS)]);
+}
+
 /// Nobody can tell whether the job ran, so no other consumer may get it.
 #[test]
 fn a_confirmation_whose_consumer_disconnects_is_failed_and_never_handed_out_again() {
