Faktory: a former master hands out the accepted jobs whose consumers left

What callers saw: a lookup that was accepted before a hand-over, and whose consumer left after it, was offered to another consumer and never handed out: FETCH at the former master ended with "-ERR this server is a backup", though one that shuts down hands out what it accepted.

Cause: `fetch` looked at the role of the server before it looked for a job that the server owes.

Change: a backup looks for a job first, and says that it is a backup if there is none. It lists no consumer for that: listing stands apart from fetching in the registry now, so nothing is awaited any more between the reservation of a job and its reply.

Test: the new one was red on (no job in 30 s) and passes now, with the others of `vrrp`.

--- a/crates/faktory/src/registry.rs
+++ b/crates/faktory/src/registry.rs
@@ -146,19 +146,23 @@
         std::mem::take(&mut consumer.listed).then(|| listing(wid, Readiness::Gone))
     }
 
-    /// Handles a FETCH of a consumer from `queues` at `now`. Returns its result, and the entry to add to the
-    /// list if the consumer was not on it.
-    pub fn fetch(&self, wid: &Name, queues: &[String], now: Time) -> (Fetch, Option<Listing>) {
+    /// Lists a consumer that fetches from `queues`. Returns the entry to add to the list if it was not on it.
+    pub fn list(&self, wid: &Name, queues: &[String]) -> Option<Listing> {
+        let mut state = self.lock();
+        let consumer = state.consumers.get_mut(wid).filter(|consumer| !consumer.draining)?;
+        consumer.queues = queues.to_vec();
+        (!std::mem::replace(&mut consumer.listed, true)).then(|| listing(wid, Readiness::InService))
+    }
+
+    /// Handles a FETCH of a consumer from `queues` at `now`.
+    pub fn fetch(&self, wid: &Name, queues: &[String], now: Time) -> Fetch {
         let mut state = self.lock();
         let state = &mut *state;
-        let Some(consumer) = state.consumers.get_mut(wid) else { return (Fetch::Draining, None) };
+        let Some(consumer) = state.consumers.get_mut(wid) else { return Fetch::Draining };
         consumer.last_active = Some(Instant::now());
         if consumer.draining {
-            return (Fetch::Draining, None);
+            return Fetch::Draining;
         }
-        consumer.queues = queues.to_vec();
-        let added =
-            (!std::mem::replace(&mut consumer.listed, true)).then(|| listing(wid, Readiness::InService));
         // Checked when the job is handed out: one past its deadline, or whose attempt was cancelled, must not run.
         consumer.offers.retain(|offer| offer.deadline > now && !offer.result.is_closed());
         // Skips a job whose producer was told otherwise or has left, though the core still offers it.
@@ -166,14 +170,14 @@
             let offers = &consumer.offers;
             offers.iter().position(|offer| offer.call.job.queue == *queue && offer.call.accept())
         };
-        let Some(index) = queues.iter().find_map(accepted) else { return (Fetch::Empty, added) };
+        let Some(index) = queues.iter().find_map(accepted) else { return Fetch::Empty };
         let Offer { id, call: Call { job, .. }, result: offer_result, .. } = consumer.offers.remove(index);
         let (result, outcome) = oneshot::channel();
         let (jid, wid) = (job.jid.clone(), wid.clone());
         state.reservations.push(Reservation { id, jid, wid, result });
         // The receiver was open a moment ago, under the same lock.
         let _ = offer_result.send(OfferResult::Fetched(outcome));
-        (Fetch::Job(job), added)
+        Fetch::Job(job)
     }
 
     /// Ends the reservation of a job with the result that `from` reported; false if there is none or its
--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -466,19 +466,22 @@
         let mut fetch_timeout = std::pin::pin!(fetch_timeout);
         let mut phase = shared.phase.clone();
         loop {
-            // A server that shuts down is no longer the master, but must still hand out the jobs that it accepted.
-            if !*shared.active.borrow() && *shared.phase.borrow() == Phase::Serving {
-                return Some(Reply::Error("this server is a backup: fetch from the master".into()));
-            }
             let changed = shared.registry.changed.notified();
             let mut changed = std::pin::pin!(changed);
             // Registers before the registry is read, so that no change between the read and the wait is missed.
             changed.as_mut().enable();
-            let (fetch, added) = shared.registry.fetch(&wid, queues, shared.clock.now());
-            shared.update_list(added).await;
-            match fetch {
+            // A server that shuts down is no longer the master either, but its consumers wait for what it accepted.
+            let is_backup = !*shared.active.borrow() && *shared.phase.borrow() == Phase::Serving;
+            if !is_backup {
+                shared.update_list(shared.registry.list(&wid, queues)).await;
+            }
+            match shared.registry.fetch(&wid, queues, shared.clock.now()) {
                 Fetch::Job(job) => return Some(Reply::Bulk(job.raw.clone())),
                 Fetch::Draining => return Some(Reply::Nil),
+                // A former master hands out only what it accepted as the master and has to hand out again.
+                Fetch::Empty if is_backup => {
+                    return Some(Reply::Error("this server is a backup: fetch from the master".into()));
+                }
                 Fetch::Empty => {}
             }
             tokio::select! {
--- a/crates/rookspoke/tests/common/faktory.rs
+++ b/crates/rookspoke/tests/common/faktory.rs
@@ -96,6 +96,16 @@
         serde_json::from_str(&reply).expect("a job")
     }
 
+    /// Reads the reply to a pending FETCH and sends the next one; `None` if the reply is no job.
+    pub fn reply_to_fetch(&mut self) -> Option<Value> {
+        let reply = self.reply();
+        let job = serde_json::from_str(&reply).ok();
+        if job.is_none() {
+            self.send("FETCH default");
+        }
+        job
+    }
+
     pub fn ack(&mut self, jid: &str) -> String {
         self.call(&format!("ACK {}", json!({"jid": jid})))
     }
--- a/crates/rookspoke/tests/vrrp.rs
+++ b/crates/rookspoke/tests/vrrp.rs
@@ -76,3 +76,22 @@
     let mut consumer = fetching_consumer(&high_priority, "c-1");
     deliver(&mut Peer::producer(high_priority.address("faktory")), &mut consumer, &waiting);
 }
+
+/// Guards against an accepted job that goes back to its server after a hand-over, where FETCH got an error alone.
+#[test]
+fn a_former_master_hands_out_a_job_that_it_accepted_and_whose_consumer_left() {
+    let ([high_priority, low_priority], _) = pair();
+    let low_priority = start_daemon(&low_priority);
+    low_priority.wait_log("vrrp: master");
+    let mut first = fetching_consumer(&low_priority, "c-1");
+    let lookup = job("job-00000001", "log-lookup");
+    deliver(&mut Peer::producer(low_priority.address("faktory")), &mut first, &lookup);
+    let mut second = fetching_consumer(&low_priority, "c-2");
+    let high_priority = start_daemon(&high_priority);
+    high_priority.wait_log("vrrp: master");
+    low_priority.wait_log("vrrp: no longer master");
+    drop(first);
+    wait_for("the lookup", || (second.reply_to_fetch()? == lookup).then_some(()));
+    assert_eq!(second.ack("job-00000001"), "+OK");
+    low_priority.wait_counters("faktory", &["taken=1", "served=1", "sent=2"]);
+}
