Decisions: an accepted job is not refused before its deadline, as nobody would hear it

What callers saw: a lookup answered with +OK, whose consumer left after the latest start that meets the class's aim, was refused as "too late to start" though another consumer asked for work and most of the time was left. Its producer, who was told +OK, heard nothing.

The decisions refuse early in the belief that the client hears it and comes back; after +OK no client does.

Change: the update `Accepted` (a start of which the client has been told) marks the job. It is then offered on as its class allows, until its deadline; late starts, a likely late start, a tenant's share and bans refuse it no more. A class that must not run twice is failed as before, and attempts are bounded as before. Only the Faktory transport sends the update, so the decisions for the other hosts are the same.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -59,7 +59,9 @@
             return self.hedge(id, last, out);
         }
         let class = &self.settings.classes[job.class.0];
-        let late = class.late_worth == 0.0 && self.now >= self.latest_start(job);
+        // An accepted job is owed an attempt until its deadline: nobody would hear of its refusal.
+        let refusable = !job.accepted;
+        let late = refusable && class.late_worth == 0.0 && self.now >= self.latest_start(job);
         let repeat_deadline = job.repeat_deadline(class.effect, MAX_TRANSIT);
         let repeat_over = repeat_deadline.is_some_and(|at| at <= self.now + self.settings.quantum);
         // A job that may only be repeated on certain workers waits for one only while one is in service.
@@ -83,7 +85,8 @@
         match to {
             // A job that would start too late is refused: served late it is worth nothing and delays others.
             Some(_)
-                if late_worth == 0.0
+                if refusable
+                    && late_worth == 0.0
                     && probability.is_some_and(|p| p > MAX_LATE_PROBABILITY * self.relative_worth(&job)) =>
             {
                 self.pressure += (1.0 - self.pressure) * PRESSURE_GAIN;
@@ -93,8 +96,8 @@
                 self.requests.schedule(id, Some(last.min(self.now + RECHECK_INTERVAL)));
             }
             Some(to) => self.send(id, to, out),
-            None if job.over_share => self.answer(id, EndReason::TenantOverShare, out),
-            None if self.fleet.all_banned() => self.answer(id, EndReason::AllBanned, out),
+            None if refusable && job.over_share => self.answer(id, EndReason::TenantOverShare, out),
+            None if refusable && self.fleet.all_banned() => self.answer(id, EndReason::AllBanned, out),
             None => self.requests.schedule(id, Some(last.min(self.now + RECHECK_INTERVAL))),
         }
     }
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -517,6 +517,9 @@
 pub enum AttemptUpdate {
     /// The job has left the queue and runs.
     Started,
+    /// As [`AttemptUpdate::Started`], and the client has been told that its job is accepted. It hears nothing more of
+    /// the job, so a refusal before the deadline would lose it.
+    Accepted,
     /// This fraction of the job is done.
     Progress(f64),
     /// A message of a kind that dispatchers do not use.
--- a/crates/decisions/src/requests.rs
+++ b/crates/decisions/src/requests.rs
@@ -73,6 +73,8 @@
     pub deadline: Time,
     pub over_share: bool,
     pub streaming: bool,
+    /// Its client has been told that the job is accepted, and cannot be told of a refusal any more.
+    pub accepted: bool,
     pub ended: bool,
     pub attempts: Vec<Attempt>,
     /// When this job is checked next, as entered in [`Requests::due`].
@@ -95,6 +97,7 @@
             deadline: request.deadline,
             over_share,
             streaming: false,
+            accepted: false,
             ended: false,
             attempts: Vec::new(),
             due: None,
@@ -228,8 +231,11 @@
         update: AttemptUpdate,
         now: Time,
     ) -> Option<(WorkerId, Time)> {
-        let a = self.jobs.get_mut(&id)?.attempts.get_mut(attempt)?;
-        let starts = update == AttemptUpdate::Started && a.started.is_none();
+        let job = self.jobs.get_mut(&id)?;
+        let a = job.attempts.get_mut(attempt)?;
+        job.accepted |= update == AttemptUpdate::Accepted;
+        let running = matches!(update, AttemptUpdate::Started | AttemptUpdate::Accepted);
+        let starts = running && a.started.is_none();
         a.started = a.started.or(starts.then_some(now));
         a.last_update = a.started.map(|_| now);
         starts.then_some((a.worker, a.sent))
--- a/crates/emulator/src/policy/baseline.rs
+++ b/crates/emulator/src/policy/baseline.rs
@@ -349,7 +349,11 @@
             }
             Event::Timer(_) => self.timer_at = self.timer_at.filter(|at| *at > now),
             Event::AttemptUpdate {
-                update: AttemptUpdate::Started | AttemptUpdate::Progress(_) | AttemptUpdate::Other,
+                update:
+                    AttemptUpdate::Started
+                    | AttemptUpdate::Accepted
+                    | AttemptUpdate::Progress(_)
+                    | AttemptUpdate::Other,
                 ..
             }
             | Event::StreamStarted { .. }
--- a/crates/faktory/src/transport.rs
+++ b/crates/faktory/src/transport.rs
@@ -56,7 +56,7 @@
                 Ok(Err(_)) | Err(_) => return Outcome::TurnedAway.into(),
             };
             handle.counters().written.increment();
-            handle.report_progress(request, number, AttemptUpdate::Started).await;
+            handle.report_progress(request, number, AttemptUpdate::Accepted).await;
             match timeout(reserve_for.min(clock.until(deadline)), outcome).await {
                 Ok(Ok(result)) => result,
                 // The consumer held the job and reported nothing: it may have run.
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -235,6 +235,26 @@
     daemon.wait_counters("faktory", &["taken=1", "served=1", "failed=0", "sent=2"]);
 }
 
+/// Guards against accepted jobs that are refused in silence, since they would start too late on their next consumer.
+#[test]
+fn an_accepted_lookup_goes_to_another_consumer_however_late() {
+    let mut settings = platform_config("127.0.0.1:9".parse().expect("an address"));
+    settings["settings"]["classes"][0]["goal_time_ms"] = 10.0.into();
+    let daemon = Daemon::start(&settings, Some(FRONT_ENABLED));
+    let mut first = fetching_consumer(&daemon, "c-1");
+    let mut producer = Peer::producer(daemon.address("faktory"));
+    let mut lookup = job("job-00000001", "log-lookup");
+    lookup["custom"] = serde_json::json!({"time_left_ms": 60_000});
+    deliver(&mut producer, &mut first, &lookup);
+    let mut second = fetching_consumer(&daemon, "c-2");
+    // Later than the latest start with which the lookup would meet its aim.
+    thread::sleep(Duration::from_secs(2));
+    drop(first);
+    wait_for("the lookup", || (second.reply_to_fetch()? == lookup).then_some(()));
+    assert_eq!(second.ack("job-00000001"), "+OK");
+    daemon.wait_counters("faktory", &["taken=1", "served=1", "refused=0", "failed=0", "sent=2"]);
+}
+
 /// A reservation belongs to the job's id, not to the connection that fetched it.
 #[test]
 fn an_ack_over_another_connection_of_the_consumer_is_accepted() {
