Faktory: a FETCH whose connection has closed already gets no job

What callers saw: a job answered with +OK that no consumer got, where FETCH and the end of its connection arrived together. The consumer had another connection, so the job counted as held until its deadline, and a `qso-confirm` was then failed.

Cause: `fetch` took a job from the registry before it looked whether its client was still there; it looked only while it waited.

Change: it looks each time before it takes a job. What closes later, while the reply is on its way, cannot be known.

--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -475,6 +475,10 @@
             if !is_backup {
                 shared.update_list(shared.registry.list(&wid, queues)).await;
             }
+            // No job may be handed to a connection that is closed.
+            if self.client_disconnected().now_or_never().is_some() {
+                return None;
+            }
             match shared.registry.fetch(&wid, queues, shared.clock.now()) {
                 Fetch::Job(job) => return Some(Reply::Bulk(job.raw.clone())),
                 Fetch::Draining => return Some(Reply::Nil),
@@ -488,7 +492,6 @@
                 () = changed => {}
                 () = &mut fetch_timeout => return Some(Reply::Nil),
                 () = drained(&mut phase) => return Some(Reply::Nil),
-                // No job may be handed to a connection that is closed.
                 () = self.client_disconnected() => return None,
             }
         }
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -255,6 +255,28 @@
     daemon.wait_counters("faktory", &["taken=1", "served=1", "refused=0", "failed=0", "sent=2"]);
 }
 
+/// Guards against an accepted job that is handed to nobody: its FETCH and the end of that connection arrive together.
+#[test]
+fn a_fetch_whose_connection_is_closed_already_gets_no_job() {
+    let daemon = start_daemon(FRONT_ENABLED);
+    let at = daemon.address("faktory");
+    let mut consumer = fetching_consumer(&daemon, "c-1");
+    deliver(&mut Peer::producer(at), &mut consumer, &job("earlier-1", "log-lookup"));
+    assert_eq!(consumer.ack("earlier-1"), "+OK");
+    let mut closing = Peer::consumer(at, "c-1");
+    let mut producer = Peer::producer(at);
+    producer.send(&format!("PUSH {}", job("job-00000001", "qso-confirm")));
+    wait_for("the offer", || (consumer.info()["offered"] == 1).then_some(()));
+    daemon.signal("STOP");
+    closing.send("FETCH default");
+    drop(closing);
+    daemon.signal("CONT");
+    consumer.send("FETCH default");
+    let got = wait_for("the job", || consumer.reply_to_fetch());
+    assert_eq!((got["jid"].as_str(), producer.reply()), (Some("job-00000001"), "+OK".into()));
+    daemon.wait_counters("faktory", &["taken=2", "written=2", "refused=0", "failed=0"]);
+}
+
 /// A reservation belongs to the job's id, not to the connection that fetched it.
 #[test]
 fn an_ack_over_another_connection_of_the_consumer_is_accepted() {
