Faktory: open jobs and known ids in a module of their own

`jobs.rs` opens and closes a job in one place each; the number of open jobs, which stood twice, is kept once, and the ids are a set, since nothing read whether one was open.

--- a/crates/faktory/src/server.rs
+++ b/crates/faktory/src/server.rs
@@ -1,9 +1,8 @@
 //! The work server: connections of producers and consumers, and the records of their jobs.
 
-use std::collections::{HashMap, VecDeque};
 use std::future::Future;
 use std::io;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -15,6 +14,7 @@
 
 use super::call::Call;
 use super::codec::{Beat, Codec, Command, CommandError, Job, Reply, VERSION};
+use super::jobs::JobRegistry;
 use super::registry::{ConsumerRegistry, Fetch};
 use super::transport::{deadline, ConsumerTransport};
 use super::{front_settings, FaktoryConfig};
@@ -40,8 +40,6 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(60);
 /// How often the registry is checked for consumers to expire.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum number of ids of finished jobs that are kept, to reject a job that is pushed again.
-const MAX_FINISHED_JIDS: usize = 16_384;
 /// How long connections may take to send their last replies once a shutdown has no open jobs left.
 const FINAL_REPLIES_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -56,16 +54,6 @@
     Drained,
 }
 
-/// Ids of pushed jobs, to reject duplicates.
-#[derive(Default)]
-struct Jids {
-    /// Open jobs, and finished ones that must not run twice. The value tells whether the job is open.
-    known: HashMap<String, bool>,
-    /// The finished ones of `known`, oldest first.
-    finished: VecDeque<String>,
-    open: usize,
-}
-
 struct Shared {
     registry: Arc<ConsumerRegistry>,
     handle: Handle<Call, ()>,
@@ -76,9 +64,7 @@
     /// Whether jobs are accepted and handed out, that is, whether this daemon is the master of its pair.
     active: watch::Receiver<bool>,
     phase: watch::Receiver<Phase>,
-    jids: Mutex<Jids>,
-    /// Number of open jobs.
-    open_jobs: watch::Sender<usize>,
+    jobs: JobRegistry,
 }
 
 /// The work server, which accepts connections of producers and consumers.
@@ -130,10 +116,8 @@
         };
         let core = core.run(settings.clone(), seed, clock, transport);
         let (phase_sender, phase) = watch::channel(Phase::Serving);
-        let jids = Mutex::default();
-        let open_jobs = watch::Sender::new(0);
-        let shared =
-            Shared { registry, handle, clock, settings, class_deadlines, active, phase, jids, open_jobs };
+        let jobs = JobRegistry::default();
+        let shared = Shared { registry, handle, clock, settings, class_deadlines, active, phase, jobs };
         let limit = ConnectionLimit::new(config.max_connections, CONNECTION_TIMEOUTS);
         let reconnect_timeout = config.reconnect_timeout();
         (Server { shared: Arc::new(shared), limit, reconnect_timeout, phase: phase_sender }, core)
@@ -154,12 +138,11 @@
         let mut connections = JoinSet::new();
         let mut listener = Listener::new(listener, self.limit.clone());
         let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
-        let mut open_jobs = self.shared.open_jobs.subscribe();
+        let open_jobs = self.shared.jobs.clone();
         let drained = async {
             stop.await;
             self.phase.send_replace(Phase::Draining);
-            // Cannot fail: `self` keeps the sender alive.
-            let _ = open_jobs.wait_for(|open| *open == 0).await;
+            open_jobs.all_closed().await;
         };
         let mut drained = std::pin::pin!(drained);
         loop {
@@ -220,10 +203,6 @@
         }
     }
 
-    fn jids(&self) -> MutexGuard<'_, Jids> {
-        self.jids.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Why new jobs are rejected at the moment, if they are.
     fn rejects_jobs(&self) -> Option<&'static str> {
         if *self.phase.borrow() > Phase::Serving {
@@ -240,50 +219,6 @@
             std::future::pending().await
         }
     }
-
-    /// Registers an open job; false if its id is known already.
-    fn register(&self, jid: &str) -> bool {
-        let mut jids = self.jids();
-        if jids.known.contains_key(jid) {
-            return false;
-        }
-        jids.known.insert(jid.to_owned(), true);
-        jids.open += 1;
-        self.open_jobs.send_replace(jids.open);
-        true
-    }
-
-    /// Closes a job. With `remember`, its id stays known, since the job may have run and must not run twice.
-    fn finish(&self, jid: &str, remember: bool) {
-        let mut jids = self.jids();
-        if remember {
-            jids.known.insert(jid.to_owned(), false);
-            jids.finished.push_back(jid.to_owned());
-            if jids.finished.len() > MAX_FINISHED_JIDS {
-                let oldest = jids.finished.pop_front();
-                oldest.map(|oldest| jids.known.remove(&oldest));
-            }
-        } else {
-            jids.known.remove(jid);
-        }
-        jids.open -= 1;
-        self.open_jobs.send_replace(jids.open);
-    }
-}
-
-/// An open job. Dropping it closes the job: its final answer has arrived, or nobody waits for it any more.
-struct OpenJob {
-    shared: Arc<Shared>,
-    call: Call,
-    /// Its class must not run twice.
-    at_most_once: bool,
-}
-
-impl Drop for OpenJob {
-    fn drop(&mut self) {
-        let handed_out = !self.call.withdraw();
-        self.shared.finish(&self.call.job.jid, self.at_most_once && handed_out);
-    }
 }
 
 /// Completes once a shutdown has no open jobs left, or the server has been dropped.
@@ -402,13 +337,12 @@
         let Some(class) = classes.iter().position(|c| c.name.as_ref() == job.jobtype) else {
             return reject(format!("jobtype {:?} is not known", job.jobtype));
         };
-        if !shared.register(&job.jid) {
-            return reject(format!("job {} was pushed before", job.jid));
-        }
         let at_most_once = classes[class].effect == Effect::Unsafe;
         let (call, accepted) = Call::new(job);
-        let open_job = OpenJob { shared: shared.clone(), call: call.clone(), at_most_once };
         let job = call.job.clone();
+        let Some(open_job) = shared.jobs.open(call.clone(), at_most_once) else {
+            return reject(format!("job {} was pushed before", job.jid));
+        };
         let time_left = job.custom.time_left_ms.map_or(shared.class_deadlines[class], Duration::from_millis);
         let submission = Submission {
             class: ClassId(class),
@@ -443,14 +377,14 @@
             // From here on the producer hears nothing more of the job, so a consumer has to have it.
             Ok(()) = accepted => {}
             // A producer without a reply may push the job again, so the request is dropped.
-            () = self.client_disconnected() => if open_job.call.withdraw() {
+            () = self.client_disconnected() => if open_job.withdraw() {
                 return None;
             },
         }
         tokio::spawn(async move {
             let answer = answer.await;
             if answer != Answer::Served(()) {
-                tracing::warn!("job {} was accepted but not served: {answer:?}", open_job.call.job.jid);
+                tracing::warn!("job {} was accepted but not served: {answer:?}", job.jid);
             }
             drop(open_job);
         });
