--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,8 @@
 //! The stand-ins and the cases of the second review. `rookspoke-review-2 CASE FOLDER` plays a case, writes `record.txt`
 //! to the folder, and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod busy_consumer;
+mod faktory;
 mod http;
 mod second_answer;
 mod world;
@@ -30,6 +32,7 @@
     world::note(format!("case {case}, trouble: {}", world::trouble()));
     let result = match case.as_str() {
         "second-answer" => second_answer::run(),
+        "busy-consumer" => busy_consumer::run(),
         _ => Err(format!("no case {case}")),
     };
     world::kill_children();
