--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod busy_consumer;
 mod faktory;
 mod http;
+mod other_queue;
 mod second_answer;
 mod world;
 
@@ -33,6 +34,7 @@
     let result = match case.as_str() {
         "second-answer" => second_answer::run(),
         "busy-consumer" => busy_consumer::run(),
+        "other-queue" => other_queue::run(),
         _ => Err(format!("no case {case}")),
     };
     world::kill_children();
