--- a/review/standins-2/src/faktory.rs
+++ b/review/standins-2/src/faktory.rs
@@ -16,7 +16,7 @@
     /// Connects and says HELLO; `wid` is the name of a consumer.
     pub fn connect(to: SocketAddr, name: &str, wid: Option<&str>) -> Result<Self, Failure> {
         let stream = TcpStream::connect_timeout(&to, Duration::from_secs(2)).map_err(|e| format!("{name}: {e}"))?;
-        stream.set_read_timeout(Some(Duration::from_secs(40))).map_err(|e| e.to_string())?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).map_err(|e| e.to_string())?;
         let _ = stream.set_nodelay(true);
         let mut peer = Peer { name: name.into(), stream: BufReader::new(stream) };
         let hello = match wid {
@@ -24,7 +24,12 @@
             None => "{\"hostname\":\"h\",\"v\":2}".into(),
         };
         match (peer.reply()?, peer.call(&format!("HELLO {hello}"))?) {
-            (hi, ok) if hi.starts_with("+HI") && ok == "+OK" => Ok(peer),
+            (hi, ok) if hi.starts_with("+HI") && ok == "+OK" => {
+                // A PUSH may be answered late.
+                let timeout = Some(Duration::from_secs(40));
+                peer.stream.get_ref().set_read_timeout(timeout).map_err(|e| e.to_string())?;
+                Ok(peer)
+            }
             (hi, ok) => Err(format!("{name}: {hi}, {ok}")),
         }
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod busy_consumer;
 mod faktory;
 mod http;
+mod memory;
 mod other_queue;
 mod second_answer;
 mod world;
@@ -35,6 +36,7 @@
         "second-answer" => second_answer::run(),
         "busy-consumer" => busy_consumer::run(),
         "other-queue" => other_queue::run(),
+        "memory" => memory::run(),
         _ => Err(format!("no case {case}")),
     };
     world::kill_children();
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -180,6 +180,10 @@
         let _ = Command::new("kill").args([&format!("-{signal}"), &self.child.id().to_string()]).status();
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process is running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
