--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod other_queue;
 mod second_answer;
+mod vanished;
 mod world;
 
 use std::path::PathBuf;
@@ -36,6 +37,7 @@
         "second-answer" => second_answer::run(),
         "busy-consumer" => busy_consumer::run(),
         "other-queue" => other_queue::run(),
+        "vanished" => vanished::run(),
         "memory" => memory::run(),
         _ => Err(format!("no case {case}")),
     };
