--- a/review/standins-2/src/busy_consumer.rs
+++ b/review/standins-2/src/busy_consumer.rs
@@ -73,7 +73,9 @@
         }
         if !acked.contains(&lookup) {
             lost += 1;
-            note(format!("verdict: {lookup} was accepted (+OK) and never done, though c-2 asked for jobs for seconds"));
+            note(format!(
+                "verdict: {lookup} was accepted (+OK) and never done, though c-2 asked for jobs for seconds"
+            ));
         }
     }
     note(format!("verdict: {lost} of {ROUNDS} accepted lookups were lost"));
--- a/review/standins-2/src/faktory.rs
+++ b/review/standins-2/src/faktory.rs
@@ -15,7 +15,8 @@
 impl Peer {
     /// Connects and says HELLO; `wid` is the name of a consumer.
     pub fn connect(to: SocketAddr, name: &str, wid: Option<&str>) -> Result<Self, Failure> {
-        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(2)).map_err(|e| format!("{name}: {e}"))?;
+        let stream =
+            TcpStream::connect_timeout(&to, Duration::from_secs(2)).map_err(|e| format!("{name}: {e}"))?;
         stream.set_read_timeout(Some(Duration::from_secs(5))).map_err(|e| e.to_string())?;
         let _ = stream.set_nodelay(true);
         let mut peer = Peer { name: name.into(), stream: BufReader::new(stream) };
@@ -36,7 +37,10 @@
 
     pub fn send(&mut self, command: &str) -> Result<(), Failure> {
         note(format!("{}: {command}", self.name));
-        self.stream.get_mut().write_all(format!("{command}\r\n").as_bytes()).map_err(|e| format!("{}: {e}", self.name))
+        self.stream
+            .get_mut()
+            .write_all(format!("{command}\r\n").as_bytes())
+            .map_err(|e| format!("{}: {e}", self.name))
     }
 
     /// The next reply: a line as it came, the text of a bulk string, or `nil`.
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 as the protocol page has it: reading messages, clients, log workers and discovery.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -109,7 +109,8 @@
         for _ in 0..2 {
             let resting = self.stream.is_some();
             if self.stream.is_none() {
-                self.stream = TcpStream::connect_timeout(&self.to, Duration::from_secs(2)).ok().map(BufReader::new);
+                self.stream =
+                    TcpStream::connect_timeout(&self.to, Duration::from_secs(2)).ok().map(BufReader::new);
             }
             let Some(stream) = &mut self.stream else { break };
             let _ = stream.get_ref().set_read_timeout(Some(Duration::from_millis(left_ms + 1000)));
@@ -143,8 +144,6 @@
 pub struct Worker {
     pub uid: String,
     pub address: SocketAddr,
-    /// When each job was taken: its class, its id, and the time.
-    pub runs: Arc<Mutex<Vec<(String, String, f64)>>>,
 }
 
 impl Worker {
@@ -162,7 +161,8 @@
                     while let Some(request) = read_message(&mut reader) {
                         let keep = if request.start.starts_with("GET /stats") {
                             let text = "x0=4,failed_ps=0,served_ps=1,cpu_share=0.3";
-                            write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).is_ok()
+                            write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+                                .is_ok()
                         } else {
                             on_job(&request, &mut writer)
                         };
@@ -173,7 +173,7 @@
                 });
             }
         });
-        Worker { uid: uid.into(), address, runs: Arc::default() }
+        Worker { uid: uid.into(), address }
     }
 
     /// Its entry in discovery's list.
@@ -187,7 +187,8 @@
 
 /// Begins the chunked answer with which a log worker takes a job.
 pub fn take(to: &mut TcpStream) -> bool {
-    to.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok()
+    to.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .is_ok()
 }
 
 /// Writes one object of that answer; `rest` follows its state.
@@ -219,7 +220,7 @@
     tell(to, uid, id, "done", &format!(",\"result\":\"{id} by {uid}\"")) && end(to)
 }
 
-/// Discovery: the whole list to whoever asks, and watches that stay open.
+/// Discovery: the whole list to whoever asks, and watches that stay open. The list does not change.
 #[derive(Clone)]
 pub struct Discovery {
     pub address: SocketAddr,
@@ -228,7 +229,6 @@
 
 #[derive(Default)]
 struct DiscoveryState {
-    rev: u64,
     entries: Vec<(String, String)>,
     watches: Vec<TcpStream>,
 }
@@ -237,7 +237,7 @@
     pub fn start(entries: Vec<(String, String)>) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let address = listener.local_addr().expect("an address");
-        let state = Arc::new(Mutex::new(DiscoveryState { rev: 41, entries, watches: Vec::new() }));
+        let state = Arc::new(Mutex::new(DiscoveryState { entries, watches: Vec::new() }));
         let discovery = Discovery { address, state };
         let (accepting, ticking) = (discovery.clone(), discovery.clone());
         thread::spawn(move || {
@@ -278,21 +278,6 @@
         self.state.lock().unwrap().watches.retain_mut(|watch| watch.write_all(chunk.as_bytes()).is_ok());
     }
 
-    /// Changes one entry, and tells every watch.
-    pub fn change(&self, uid: &str, entry: &str) {
-        let line = {
-            let mut state = self.state.lock().unwrap();
-            state.rev += 1;
-            state.entries.retain(|(other, _)| other != uid);
-            if !entry.contains("\"left\"") {
-                state.entries.push((uid.into(), entry.into()));
-            }
-            format!("{{\"rev\":{},\"all\":false,\"targets\":[{entry}]}}\n", state.rev)
-        };
-        note(format!("discovery: tells {}", line.trim_end()));
-        self.write(&line);
-    }
-
     /// The whole list.
     pub fn list(&self) -> String {
         self.state.lock().unwrap().whole().trim_end().to_owned()
@@ -302,7 +287,7 @@
 impl DiscoveryState {
     fn whole(&self) -> String {
         let entries: Vec<&str> = self.entries.iter().map(|(_, entry)| entry.as_str()).collect();
-        format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}\n", self.rev, entries.join(","))
+        format!("{{\"rev\":41,\"all\":true,\"targets\":[{}]}}\n", entries.join(","))
     }
 }
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,7 +6,6 @@
 mod http;
 mod memory;
 mod other_queue;
-mod second_answer;
 mod vanished;
 mod world;
 
@@ -34,7 +33,6 @@
     });
     world::note(format!("case {case}, trouble: {}", world::trouble()));
     let result = match case.as_str() {
-        "second-answer" => second_answer::run(),
         "busy-consumer" => busy_consumer::run(),
         "other-queue" => other_queue::run(),
         "vanished" => vanished::run(),
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -52,10 +52,13 @@
         .map(|number| {
             let uid = format!("s-{number:08x}");
             let name = uid.clone();
-            Worker::start(&uid, Arc::new(move |request: &Message, to: &mut TcpStream| {
-                note(format!("{name}: runs {} {}", request.class(), request.id()));
-                serve(to, &name, request.id(), Duration::from_millis(600))
-            }))
+            Worker::start(
+                &uid,
+                Arc::new(move |request: &Message, to: &mut TcpStream| {
+                    note(format!("{name}: runs {} {}", request.class(), request.id()));
+                    serve(to, &name, request.id(), Duration::from_millis(600))
+                }),
+            )
         })
         .collect();
     let entries = workers.iter().map(|w| (w.uid.clone(), w.entry("bp-vaci", "active"))).collect();
@@ -64,7 +67,8 @@
     let stated = stated.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
     let dispatcher = Dispatcher::start("n0", &stated, None)?;
     let address = dispatcher.wait_ready()?;
-    let (ended, most, pid) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)), dispatcher.pid());
+    let (ended, most, pid) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)), dispatcher.pid());
     // The platform: over its memory, the dispatcher is killed.
     let platform = thread::spawn({
         let (ended, most) = (ended.clone(), most.clone());
@@ -113,13 +117,20 @@
     ended.store(true, Ordering::Relaxed);
     let killed = platform.join().map_err(|_| "the platform failed")?;
     if let Some(used) = killed {
-        note(format!("verdict: the dispatcher used {used} kB of its {} kB, and was killed", MEMORY_MB * 1024));
+        note(format!(
+            "verdict: the dispatcher used {used} kB of its {} kB, and was killed",
+            MEMORY_MB * 1024
+        ));
     }
-    let totals: Vec<(u32, u32)> = clients.into_iter().map(|client| client.join().unwrap_or_default()).collect();
+    let totals: Vec<(u32, u32)> =
+        clients.into_iter().map(|client| client.join().unwrap_or_default()).collect();
     let (served, unanswered) = totals.iter().fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
     if served == 0 {
         return Err("no usual client was served".into());
     }
-    note(format!("verdict: at most {} kB used; {served} jobs served, {unanswered} without an answer", most.load(Ordering::Relaxed)));
+    note(format!(
+        "verdict: at most {} kB used; {served} jobs served, {unanswered} without an answer",
+        most.load(Ordering::Relaxed)
+    ));
     Ok(killed.is_some())
 }
--- a/review/standins-2/src/other_queue.rs
+++ b/review/standins-2/src/other_queue.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::faktory::{job, jid_of, Peer};
+use crate::faktory::{jid_of, job, Peer};
 use crate::http::Discovery;
 use crate::world::{config, note, trouble, Dispatcher, Failure};
 
@@ -74,7 +74,9 @@
         }
         if !done {
             lost += 1;
-            note(format!("verdict: {lookup} was accepted (+OK) and handed to nobody again, though c-2 asked for it"));
+            note(format!(
+                "verdict: {lookup} was accepted (+OK) and handed to nobody again, though c-2 asked for it"
+            ));
         }
         if !dispatcher.is_running() {
             note("verdict: the dispatcher ended");
--- a/review/standins-2/src/vanished.rs
+++ b/review/standins-2/src/vanished.rs
@@ -83,7 +83,10 @@
                 true => silent.extend(pool),
                 false => drop(pool),
             }
-            note(format!("platform: the machine of consumer c-{number} is {}", if trouble() { "gone" } else { "stopped in order" }));
+            note(format!(
+                "platform: the machine of consumer c-{number} is {}",
+                if trouble() { "gone" } else { "stopped in order" }
+            ));
             let (back, wid) = (Arc::new(AtomicBool::new(false)), format!("c-{number}-back"));
             let flag = back.clone();
             let returned = thread::spawn(move || {
@@ -100,13 +103,19 @@
         tried += 1;
         let greeted = greeted(address, Duration::from_secs(4));
         heard += u32::from(greeted);
-        note(format!("producer: a new connection {}", if greeted { "is served" } else { "hears nothing for 4 s" }));
+        note(format!(
+            "producer: a new connection {}",
+            if greeted { "is served" } else { "hears nothing for 4 s" }
+        ));
         thread::sleep(Duration::from_millis(500));
     }
     if !dispatcher.is_running() {
         note("verdict: the dispatcher ended");
         return Ok(true);
     }
-    note(format!("verdict: {heard} of {tried} new connections were served; {} silent ones were held open", silent.len()));
+    note(format!(
+        "verdict: {heard} of {tried} new connections were served; {} silent ones were held open",
+        silent.len()
+    ));
     Ok(heard == 0)
 }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -90,14 +90,15 @@
     name: String,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
-    folder: Arc<Folder>,
+    /// Removed with the dispatcher.
+    _folder: Folder,
 }
 
 impl Dispatcher {
     /// Starts a dispatcher with this configuration of the platform. `own_file` is the text of `deploy/rookspoke.conf`;
     /// with it the program runs in a folder of its own that has that file, since the checkout's stays as it is.
     pub fn start(name: &str, config: &str, own_file: Option<&str>) -> Result<Self, Failure> {
-        let folder = Arc::new(Folder::new()?);
+        let folder = Folder::new()?;
         let at = folder.0.join("config.json");
         fs::write(&at, config).map_err(|e| e.to_string())?;
         let private = folder.0.join("tmp");
@@ -130,13 +131,7 @@
                 lines.lock().unwrap().push(line);
             }
         });
-        Ok(Dispatcher { name: name.into(), child, log, folder })
-    }
-
-    /// Replaces the platform's configuration.
-    pub fn replace_config(&self, config: &str) -> Result<(), Failure> {
-        let next = self.folder.0.join("config.next");
-        fs::write(&next, config).and_then(|()| fs::rename(next, self.folder.0.join("config.json"))).map_err(|e| e.to_string())
+        Ok(Dispatcher { name: name.into(), child, log, _folder: folder })
     }
 
     /// The address of a front, as the program logs it.
@@ -175,11 +170,6 @@
         }
     }
 
-    pub fn signal(&self, signal: &str) {
-        note(format!("platform: SIG{signal} to {}", self.name));
-        let _ = Command::new("kill").args([&format!("-{signal}"), &self.child.id().to_string()]).status();
-    }
-
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
@@ -188,11 +178,6 @@
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
-
-    /// Whether a line of its log contains this text.
-    pub fn logged(&self, text: &str) -> usize {
-        self.log.lock().unwrap().iter().filter(|line| line.contains(text)).count()
-    }
 }
 
 impl Drop for Dispatcher {
