--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod memory;
 mod other_queue;
+mod pipeline;
 mod vanished;
 mod world;
 
@@ -36,6 +37,7 @@
         "busy-consumer" => busy_consumer::run(),
         "other-queue" => other_queue::run(),
         "vanished" => vanished::run(),
+        "pipeline" => pipeline::run(),
         "memory" => memory::run(),
         _ => Err(format!("no case {case}")),
     };
