--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 program=$here/../standins-2/target/release/rookspoke-review-2
 [ -x "$program" ] || { echo "found no $program, expected it built by review/build-2.sh" >&2; exit 2; }
-exec "$program" vanished "$here"
+exec "$program" taken-back "$here"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,7 +7,7 @@
 mod memory;
 mod other_queue;
 mod pipeline;
-mod vanished;
+mod taken_back;
 mod world;
 
 use std::path::PathBuf;
@@ -36,8 +36,8 @@
     let result = match case.as_str() {
         "busy-consumer" => busy_consumer::run(),
         "other-queue" => other_queue::run(),
-        "vanished" => vanished::run(),
         "pipeline" => pipeline::run(),
+        "taken-back" => taken_back::run(),
         "memory" => memory::run(),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -89,6 +89,8 @@
 pub struct Dispatcher {
     name: String,
     child: Child,
+    /// Ends the dispatcher if this program is killed: its input is a pipe from here.
+    guard: Child,
     log: Arc<Mutex<Vec<String>>>,
     /// Removed with the dispatcher.
     _folder: Folder,
@@ -123,6 +125,10 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("{name}: {e}"))?;
         CHILDREN.lock().unwrap().push(child.id());
+        let mut guard = Command::new("/bin/sh");
+        guard.args(["-c", "read line; kill -KILL \"$0\" 2>/dev/null", &child.id().to_string()]);
+        let guard = guard.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+        let guard = guard.map_err(|e| format!("the guard of {name}: {e}"))?;
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, stderr, of) = (log.clone(), child.stderr.take().unwrap(), name.to_owned());
         thread::spawn(move || {
@@ -131,7 +137,7 @@
                 lines.lock().unwrap().push(line);
             }
         });
-        Ok(Dispatcher { name: name.into(), child, log, _folder: folder })
+        Ok(Dispatcher { name: name.into(), child, guard, log, _folder: folder })
     }
 
     /// The address of a front, as the program logs it.
@@ -174,6 +180,21 @@
         self.child.id()
     }
 
+    /// Sends SIGTERM and waits for the end; SIGKILL would come 3.7 s later at the earliest, and is not sent.
+    pub fn terminate(&mut self) -> Result<(), Failure> {
+        note(format!("platform: SIGTERM to {}", self.name));
+        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        let give_up = Instant::now() + Duration::from_millis(3700);
+        while Instant::now() < give_up {
+            if !self.is_running() {
+                note(format!("{} has ended", self.name));
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Err(format!("{} did not end in time", self.name))
+    }
+
     /// Whether the process is running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -182,6 +203,8 @@
 
 impl Drop for Dispatcher {
     fn drop(&mut self) {
+        let _ = self.guard.kill();
+        let _ = self.guard.wait();
         let _ = self.child.kill();
         let _ = self.child.wait();
         CHILDREN.lock().unwrap().retain(|pid| *pid != self.child.id());
