--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -33,14 +33,16 @@
         std::process::exit(2);
     });
     world::note(format!("case {case}, trouble: {}", world::trouble()));
-    let result = match case.as_str() {
-        "busy-consumer" => busy_consumer::run(),
-        "other-queue" => other_queue::run(),
-        "pipeline" => pipeline::run(),
-        "taken-back" => taken_back::run(),
-        "memory" => memory::run(),
-        _ => Err(format!("no case {case}")),
+    let run: fn() -> Result<bool, world::Failure> = match case.as_str() {
+        "busy-consumer" => busy_consumer::run,
+        "other-queue" => other_queue::run,
+        "pipeline" => pipeline::run,
+        "taken-back" => taken_back::run,
+        "memory" => memory::run,
+        _ => || Err("no case of this name".into()),
     };
+    // A stand-in that panics could not run its case.
+    let result = std::panic::catch_unwind(run).unwrap_or_else(|_| Err("a stand-in panicked".into()));
     world::kill_children();
     let (code, text) = match result {
         Ok(true) => (1, "the rule was broken".to_owned()),
