--- a/review/standins-2/src/taken_back.rs
+++ b/review/standins-2/src/taken_back.rs
@@ -85,7 +85,7 @@
         front: fronts[at],
         own_file: format!(
             "faktory {{\n    listen {}\n}}\nvrrp {{\n    listen {}\n    peers {}\n    router 1\n    priority {priority}\n    \
-             addresses 192.0.2.1\n}}\n",
+             addresses 127.0.0.100\n}}\n",
             fronts[at],
             links[at],
             links[1 - at]
