--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -66,7 +66,7 @@
         let repeat_over = repeat_deadline.is_some_and(|at| at <= self.now + self.settings.quantum);
         // A job that may only be repeated on certain workers waits for one only while one is in service, or if it is
         // accepted.
-        let may_take = |id: &WorkerId| !job.tried(*id) && self.may_repeat(job, *id);
+        let may_take = |id: &WorkerId| job.tried.may_get(*id) && self.may_repeat(job, *id);
         let restricted = class.effect != Effect::Safe && job.may_have_run();
         let may_wait = job.accepted && class.effect != Effect::Unsafe;
         let no_repeat = repeat_over || restricted && !may_wait && !self.fleet.in_service.iter().any(may_take);
--- a/crates/decisions/src/health.rs
+++ b/crates/decisions/src/health.rs
@@ -73,6 +73,7 @@
             if end.outcome.proves_no_run() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (worker_id, run_time, sent) =
             (attempt.worker, attempt.started.map_or(end.latency, |at| now - at), attempt.sent);
+        job.tried.on_ended(worker_id, end.outcome, now);
         self.on_report(Some(worker_id), end.load);
         if let Some(worker) = self.fleet.get_mut(worker_id) {
             worker.on_ended(now, sent, slots, OWN_SLOTS_DECAY);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -12,6 +12,7 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 mod dispatcher;
+mod exclusion;
 mod fleet;
 mod health;
 mod list_age;
--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -82,7 +82,7 @@
             self.now >= worker.ejected_until && worker.fits(job) && !(avoid_risky && risky(worker))
         };
         let eligible = |id: &WorkerId| {
-            !job.tried(*id) && self.fleet.get(*id).is_some_and(healthy) && self.may_send(job, *id)
+            !job.tried.contains(*id) && self.fleet.get(*id).is_some_and(healthy) && self.may_send(job, *id)
         };
         // Judged by the key's demand over all dispatchers: the small fraction of one dispatcher would never fill a
         // worker.
@@ -151,6 +151,7 @@
         if best.is_none() && (job.may_have_run() || job.queue.is_some()) {
             best = self.least_loaded(self.fleet.in_service.iter().copied().filter(eligible));
         }
+        best = best.or_else(|| self.choose_tried_worker(job, healthy));
         if self.probes_for_load() {
             // Load of workers in other zones is only known after a probe.
             let cross_zone = entry.cross_zone.iter().take(if likely_late { SCAN_SAMPLE } else { 0 });
@@ -166,6 +167,19 @@
         best
     }
 
+    /// Picks the worker with the fewest attempts of `job` among those that may get it once more. The longest excluded
+    /// one comes first among equals.
+    fn choose_tried_worker(&self, job: &Job, healthy: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
+        // Requests over their tenant's share are not queued.
+        let has_room = |worker: &Worker| !job.over_share || self.is_available(worker, job, 0.0);
+        let takes_it = |id: WorkerId| {
+            self.fleet.get(id).is_some_and(|worker| healthy(worker) && has_room(worker))
+                && self.may_send(job, id)
+        };
+        let candidates = job.tried.eligible(self.now).filter(|tried| takes_it(tried.worker));
+        candidates.min_by_key(|tried| (tried.attempts, tried.eligible_at)).map(|tried| tried.worker)
+    }
+
     /// Removes the key's entry from the table and shortens it to the workers that the key's demand fills up to Busy.
     /// Returns it with the slots that the key uses on each of them.
     fn take_entry(&mut self, key: KeyHash, kind: Option<KindId>, all_zones: bool) -> (TableEntry, f64) {
--- a/crates/decisions/src/requests.rs
+++ b/crates/decisions/src/requests.rs
@@ -5,6 +5,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::api::*;
+use crate::exclusion::TriedWorkers;
 use crate::worker::{KeyHash, WorkerId};
 
 /// The workers among which a repeat of a keyed request is recognised and discarded.
@@ -78,6 +79,7 @@
     pub accepted: bool,
     pub ended: bool,
     pub attempts: Vec<Attempt>,
+    pub tried: TriedWorkers,
     /// When this job is checked next, as entered in [`Requests::due`].
     due: Option<Time>,
 }
@@ -102,6 +104,7 @@
             accepted: false,
             ended: false,
             attempts: Vec::new(),
+            tried: TriedWorkers::default(),
             due: None,
         }
     }
@@ -139,9 +142,6 @@
             .filter(|a| a.state == AttemptState::Pending && !a.cancelled && timeout.0 > 0);
         pending.filter_map(|a| Some(a.last_update? + timeout)).min()
     }
-    pub fn tried(&self, worker: WorkerId) -> bool {
-        self.attempts.iter().any(|a| a.worker == worker)
-    }
 }
 
 /// All open requests in the order of their next checks, and what is remembered of finished ones.
--- a/crates/decisions/src/retry.rs
+++ b/crates/decisions/src/retry.rs
@@ -136,6 +136,7 @@
             self.tenant_buckets[tenant.0].add(-1.0);
         }
         job.attempts.push(Attempt::new(to, now, group));
+        job.tried.on_sent(to);
         let (timeout, last) = (Some(job.deadline - now), job.deadline - self.settings.quantum);
         out.push(Action::Send { request: id, worker: worker.name.clone(), timeout, by });
         self.hedge(id, last, out);
--- a/crates/rookspoke/tests/platform.rs
+++ b/crates/rookspoke/tests/platform.rs
@@ -165,6 +165,26 @@
     assert_eq!((one.count(), two.count()), (1, 1));
 }
 
+/// Guards against a job that waits until its time is up beside the one log worker there is, which turned it away once.
+#[test]
+fn a_job_goes_again_to_the_only_log_worker_that_turned_it_away_once() {
+    let first = std::sync::atomic::AtomicBool::new(true);
+    let worker = Worker::start("w-1", move |request, to| match first.swap(false, Ordering::SeqCst) {
+        true => {
+            let text = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+            to.write_all(text.as_bytes()).is_ok()
+        }
+        false => {
+            serve(request, to, "fine");
+            true
+        }
+    });
+    let daemon = Daemon::start_ready(&Discovery::listing(&[&worker]));
+    let request = job_request("qso-confirm", "00000000000000d2", 20_000, "");
+    assert_eq!(exchange(daemon.address("http"), &request).status, 200);
+    assert_eq!(worker.count(), 2);
+}
+
 /// The only log worker refuses connections: the client is refused without delay and told when to retry.
 #[test]
 fn a_refusal_has_a_retry_after_header() {
