Decisions: an accepted job is moved from a busy worker to a free one until its deadline

Cause: a job that waits at a worker is offered to another one only until the latest start with which it meets its aim, and one look for another worker is taken alone. By the time that `reconnect` is over that start has mostly passed. For an accepted job it means nothing: its refusal reaches nobody, and it is owed an attempt until its deadline.

Ruled out: that the idle consumer was not listed, or that the exclusion kept it out (it had not been tried).

Change: the latest start of an accepted job is its deadline less its run time; it is looked for another worker again after each quarter of its aim.

Test, red before: `an_accepted_job_is_hedged_until_its_deadline` in `accepted.rs`.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -134,12 +134,18 @@
         self.requests.close_if_done(id);
     }
 
-    /// The latest start with which a job still meets its aim, as far as this is known before it has run.
+    /// The latest start with which a job still meets its aim, or its deadline if it is accepted, as far as this is known
+    /// before it has run.
     pub(crate) fn latest_start(&self, job: &Job) -> Time {
         let class = &self.settings.classes[job.class.0];
-        let work = job.work.unwrap_or(self.run_times[job.class.0]).0 as f64;
+        let work = job.work.unwrap_or(self.run_times[job.class.0]);
         let stretch = (class.stretch - 1.0).max(0.0);
-        job.arrived + class.aim + Span((work * stretch * UNKNOWN_STRETCH_FRACTION) as i64)
+        let extra = Span((work.0 as f64 * stretch * UNKNOWN_STRETCH_FRACTION) as i64);
+        let by_aim = job.arrived + class.aim + extra;
+        match job.accepted {
+            true => by_aim.max(job.deadline - work),
+            false => by_aim,
+        }
     }
 
     /// The probability that a job would start too late on a worker. Jobs that the worker holds beyond its slots run
--- a/crates/decisions/src/retry.rs
+++ b/crates/decisions/src/retry.rs
@@ -11,6 +11,8 @@
 const SILENT_INTERVALS: i64 = 2;
 /// A job that has not started after this fraction of its aim is offered to another worker.
 const HEDGE_AFTER_FRACTION: f64 = 0.25;
+/// Lower bound on the time between two looks for another worker.
+const MIN_HEDGE_INTERVAL: Span = Span(20_000);
 /// A job is only offered to another worker if the probability of a late start there is at most this.
 pub(crate) const HEDGE_MAX_LATE_PROBABILITY: f64 = 0.3;
 /// Factor on the price of wasted work: a job that is cancelled in a queue may run nevertheless, and keeps others out.
@@ -32,16 +34,22 @@
             .all(|a| a.state != AttemptState::Pending || (a.started.is_none() && !a.cancelled));
         let copies = limits.second_copies;
         let can_hedge = limits.cancel && self.settings.reports_start;
-        let spent = job.attempts.len() >= limits.max_attempts || self.now >= self.latest_start(job);
+        let spent = !self.has_attempts_left(job) || self.now >= self.latest_start(job);
         let last_sent = job.attempts.last().map_or(last, |a| a.sent);
-        let hedge_at = last_sent + Span((class.aim.0 as f64 * HEDGE_AFTER_FRACTION) as i64);
+        let interval = Span((class.aim.0 as f64 * HEDGE_AFTER_FRACTION) as i64);
+        let hedge_at = last_sent + interval;
         let may_hedge = waits && can_hedge && !spent && class.effect != Effect::Unsafe;
         // After a worker that runs the job has fallen silent, a job that must not run twice fails at once; any other
         // is sent elsewhere.
         let silence = Span(self.settings.progress_interval.0 * SILENT_INTERVALS);
         let silent_at = job.silent_at(silence).filter(|_| limits.cancel);
         let mut job = job.clone();
-        let next = if may_hedge && self.now < hedge_at { hedge_at.min(last) } else { last };
+        let next_hedge = match self.now < hedge_at {
+            true => Some(hedge_at),
+            // The refusal of an accepted job would reach nobody, so a worker that gets free later counts, too.
+            false => job.accepted.then_some(self.now + interval.max(MIN_HEDGE_INTERVAL)),
+        };
+        let next = next_hedge.filter(|_| may_hedge).map_or(last, |at| at.min(last));
         let next = silent_at.filter(|at| *at > self.now).map_or(next, |at| at.min(next));
         self.requests.schedule(id, Some(next));
         if silent_at.is_some_and(|at| at <= self.now) {
@@ -68,6 +76,11 @@
         }
     }
 
+    /// Whether a job may be sent once more by the number of its attempts. An accepted job is owed one until its deadline.
+    fn has_attempts_left(&self, job: &Job) -> bool {
+        job.accepted || job.attempts.len() < self.settings.limits.max_attempts
+    }
+
     /// Cancels the pending attempts of a request, where the host permits it. With `started_too` false, only those
     /// that have not started.
     pub(crate) fn cancel_attempts(&mut self, id: RequestId, started_too: bool, out: &mut Vec<Action>) {
@@ -83,8 +96,7 @@
         let class = &self.settings.classes[job.class.0];
         // Rule 1: no send after the request's end or deadline, and no more attempts than the settings allow, unless the
         // job is owed an attempt until its deadline.
-        let attempts_left = job.accepted || job.attempts.len() < self.settings.limits.max_attempts;
-        let open = attempts_left
+        let open = self.has_attempts_left(job)
             && !job.ended
             && !job.streaming
             && self.now + self.settings.quantum < self.send_by(job);
--- a/crates/decisions/tests/accepted.rs
+++ b/crates/decisions/tests/accepted.rs
@@ -104,6 +104,22 @@
     assert!(!is_answered(&out), "{out:?}");
 }
 
+/// Guards against an accepted job that waits at a busy worker beside an idle one, since its aim is over.
+#[test]
+fn an_accepted_job_is_hedged_until_its_deadline() {
+    let mut host = host_with_accepted_job(Effect::Safe, 2);
+    advance(&mut host, 2000.0);
+    host.handle(list_event(ListScope::Changes, vec![gone(0)]));
+    let out = host.handle(outcome_event(1, 0, Outcome::ConnectionLost, false, None));
+    assert!(sent_to(&out).is_some(), "{out:?}");
+    let cancel = Action::Cancel { request: RequestId(1), attempt: 1 };
+    assert!(!advance(&mut host, 1000.0).contains(&cancel), "nobody else can take it");
+    host.handle(list_event(ListScope::Changes, vec![listing(2)]));
+    assert!(advance(&mut host, 200.0).contains(&cancel), "another worker has entered");
+    let out = host.handle(outcome_event(1, 1, Outcome::Cancelled, false, None));
+    assert_eq!(sent_to(&out).as_deref(), Some("w2"));
+}
+
 /// Guards against attempts that are spent on workers that take no jobs from the queue.
 #[test]
 fn a_job_goes_to_the_workers_of_its_queue_alone() {
