--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod report;
 mod request;
+mod request_ids;
 pub mod resolver;
 mod result;
 mod start_times;
@@ -35,7 +36,8 @@
 use body::BodyError;
 use fleet::{Fleet, SubchannelTransport};
 use membership::discover;
-use request::{BadRequest, Facts, OpenId, OpenIds, RequestHead};
+use request::{BadRequest, Facts, RequestHead};
+use request_ids::{OpenRequest, RequestIds, RequestState};
 use resolver::Command;
 use rookspoke_config::{Config, ListSource};
 use rookspoke_decisions::{AttemptUpdate, Ban, ClassId, Effect, RequestId, SettingsError, Span, Time};
@@ -108,7 +110,7 @@
     clock: Clock,
     ready: watch::Receiver<bool>,
     commands: mpsc::Sender<Command>,
-    open_ids: OpenIds,
+    request_ids: RequestIds,
     /// `Retry-After` of refusals for which the dispatcher gives no value; `None` where clients get no such
     /// advice.
     default_retry_after: Option<Span>,
@@ -177,7 +179,7 @@
         let vocabulary = Arc::new(config.vocabulary.clone());
         let limits = &config.settings.limits;
         let default_retry_after = limits.retry_after.then(|| DEFAULT_RETRY_AFTER.min(limits.max_retry_after));
-        let open_ids = OpenIds::default();
+        let request_ids = RequestIds::default();
         let shutdown = watch::Sender::new(None);
         let effects = config.settings.classes.iter().map(|class| class.effect).collect();
         (
@@ -187,7 +189,7 @@
                 clock,
                 ready,
                 commands,
-                open_ids,
+                request_ids,
                 default_retry_after,
                 shutdown,
                 effects,
@@ -301,7 +303,7 @@
     }
 
     /// Validates a request's head, reads its body and registers its id as open.
-    async fn parse<B>(&self, request: Request<B>) -> Result<(Submission<Arc<Call>>, OpenId), BadRequest>
+    async fn parse<B>(&self, request: Request<B>) -> Result<(Submission<Arc<Call>>, OpenRequest), BadRequest>
     where
         B: Body,
         B::Data: Buf,
@@ -335,29 +337,22 @@
         let answer_deadline = self.shutdown.borrow().map(|limits| self.clock.at(limits.answer_deadline));
         let deadline = answer_deadline.map_or(deadline, |answer_deadline| deadline.min(answer_deadline));
         let body = if grpc::is_call(&parts.headers) { grpc::unframe(body)? } else { body };
-        let open = self.open_ids.open(&id)?;
+        let effect = self.effects[class.0];
+        let at_most_once = effect == Effect::Unsafe;
+        let state = Arc::<RequestState>::default();
+        let open = self.request_ids.open(&id, at_most_once, state.clone())?;
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
         let class_name = self.vocabulary.classes[class.0].as_ref();
         let span = request_span(id.to_str().unwrap_or_default(), class_name);
-        let effect = self.effects[class.0];
         let idempotency_hash = if let Effect::Keyed { .. } = effect {
             request::idempotency_hash(&headers, class)?
         } else {
             None
         };
-        let (at_most_once, finished) = (effect == Effect::Unsafe, false.into());
         let method = parts.method;
-        let call = Arc::new(Call {
-            method,
-            uri,
-            headers,
-            id,
-            body,
-            at_most_once,
-            finished,
-            _reservation: reservation,
-        });
+        let call =
+            Arc::new(Call { method, uri, headers, id, body, at_most_once, state, _reservation: reservation });
         let Facts { slots, memory } = facts;
         Ok((
             Submission {
@@ -398,10 +393,9 @@
             let is_call = grpc::is_call(request.headers());
             Ok(match channel.parse(request).await {
                 Ok((submission, _open)) => {
-                    let finish = FinishOnDrop(submission.call.clone());
-                    let class = submission.class;
+                    let (class, id) = (submission.class, submission.call.id.clone());
                     let answer = channel.with_retry_advice(channel.handle.submit(submission).await);
-                    channel.log_at_shutdown(&finish.0.id, class, &answer);
+                    channel.log_at_shutdown(&id, class, &answer);
                     match is_call {
                         true => grpc::respond(answer),
                         false => respond(answer),
@@ -447,16 +441,6 @@
     (sockets as f64 * fraction) as usize
 }
 
-/// Marks a call as finished when dropped: it was answered, or the client has gone. The flag takes effect at
-/// once, without passing through a queue, so an attempt that is about to send sees it.
-struct FinishOnDrop(Arc<Call>);
-
-impl Drop for FinishOnDrop {
-    fn drop(&mut self) {
-        self.0.finished.store(true, Ordering::Release);
-    }
-}
-
 /// A response with a short text body, made by the channel itself.
 pub fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = Response::new(Full::new(text.into()).boxed());
--- a/crates/channel/src/request.rs
+++ b/crates/channel/src/request.rs
@@ -1,9 +1,6 @@
 //! Validates the head of a request before it is accepted. A request that log workers could not use must not
 //! reach them or the dispatcher.
 
-use std::collections::HashSet;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use thiserror::Error;
@@ -31,6 +28,8 @@
     ClassMismatch,
     #[error("a request of this id is still open")]
     DuplicateId,
+    #[error("a request of this id may have run, and must not run again")]
+    MayHaveRun,
     #[error("the body is longer than {MAX_BODY} bytes")]
     BodyTooLong,
     #[error("the body did not come in time")]
@@ -49,7 +48,7 @@
             BadRequest::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             BadRequest::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             BadRequest::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            BadRequest::DuplicateId => StatusCode::CONFLICT,
+            BadRequest::DuplicateId | BadRequest::MayHaveRun => StatusCode::CONFLICT,
             BadRequest::OutOfMemory(_) => StatusCode::SERVICE_UNAVAILABLE,
             BadRequest::Header(_)
             | BadRequest::ClassMismatch
@@ -186,31 +185,3 @@
         Ok(Facts { slots: slots.unwrap_or(default.slots), memory: memory.unwrap_or(default.memory) })
     }
 }
-
-/// The ids of requests that have not been answered yet.
-#[derive(Clone, Default)]
-pub struct OpenIds(Arc<Mutex<HashSet<HeaderValue>>>);
-
-/// An id that stays open until this is dropped.
-pub struct OpenId(OpenIds, HeaderValue);
-
-impl OpenIds {
-    /// Opens an id. Fails if it is already open, since a log worker could not tell two requests with one id
-    /// apart.
-    pub fn open(&self, id: &HeaderValue) -> Result<OpenId, BadRequest> {
-        match self.lock().insert(id.clone()) {
-            true => Ok(OpenId(self.clone(), id.clone())),
-            false => Err(BadRequest::DuplicateId),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashSet<HeaderValue>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.0.lock().remove(&self.1);
-    }
-}
--- a/crates/channel/src/subchannel.rs
+++ b/crates/channel/src/subchannel.rs
@@ -21,6 +21,7 @@
 
 use super::connection::{Connection, SendError};
 use super::lines::Lines;
+use super::request_ids::RequestState;
 use super::{headers, report, result, ProgressSink};
 use rookspoke_decisions::{AttemptUpdate, LoadReport, Name, Outcome, Time, NOTIFIED_WITHIN};
 use rookspoke_dispatch::{AttemptResult, CallAttempt, Clock, Counters, ProbeResult};
@@ -54,8 +55,8 @@
     pub body: Bytes,
     /// The request must not run twice: once written to one log worker, it must not be sent to another.
     pub at_most_once: bool,
-    /// The client has its answer or has gone, so nothing needs to be sent any more.
-    pub finished: AtomicBool,
+    /// Whether the request is finished, and whether it may have run.
+    pub state: Arc<RequestState>,
     /// Memory of the headers and the body.
     pub _reservation: Reservation,
 }
@@ -313,10 +314,12 @@
     async fn attempt(self, attempt: CallAttempt<Arc<Call>>) -> AttemptResult<Bytes> {
         let shared = &self.0.shared;
         let time_left = shared.clock.until(attempt.deadline);
-        match timeout(time_left, self.send_attempt(&attempt)).await {
-            Ok(ended) => ended,
-            Err(_) => Outcome::NoAnswer.into(),
+        let ended = timeout(time_left, self.send_attempt(&attempt)).await;
+        let ended = ended.unwrap_or_else(|_| Outcome::NoAnswer.into());
+        if ended.result.as_ref().is_err_and(|outcome| outcome.proves_no_run()) {
+            attempt.call.state.attempt_never_ran();
         }
+        ended
     }
 
     async fn send_attempt(&self, attempt: &CallAttempt<Arc<Call>>) -> AttemptResult<Bytes> {
@@ -336,8 +339,7 @@
         let accepts_work = || self.0.ready.load(Ordering::Acquire) && !self.is_banned();
         let in_time =
             |now: Time| now < attempt.send_by && now < attempt.deadline && shared.is_list_valid(now);
-        let may_send =
-            || accepts_work() && in_time(shared.clock.now()) && !call.finished.load(Ordering::Acquire);
+        let may_send = || accepts_work() && in_time(shared.clock.now()) && call.state.begin_send();
         let (connection, response) = match self.exchange(request, call.body.len(), purpose, may_send).await {
             Ok(done) => done,
             Err(outcome) => return outcome.into(),
