Decisions: a job of a queue goes to an idle consumer before a busy one

Cause: it isn't known how many jobs a consumer runs at a time until it has reported some, eight are assumed, and loads are compared in steps of a fifth of that. So one that works on a job and an idle one looked alike, and a job waited for `claim`, or until it was moved, at one busy consumer after the other.

Ruled out: to state the connections of a consumer as its slots in the list. A PUSH while all are busy is then refused at once as likely late, also before anything is known of their run times (tried and dropped).

Change: for a job with a queue, `choose_worker` takes a worker without own jobs if there is one: an untried one, else one that may get the job again. This dispatcher alone hands a queue's jobs out, so such a worker is idle. Jobs of the platform's front have no queue and are placed as before.

--- a/crates/decisions/src/placement.rs
+++ b/crates/decisions/src/placement.rs
@@ -151,6 +151,9 @@
         if best.is_none() && (job.may_have_run() || job.queue.is_some()) {
             best = self.least_loaded(self.fleet.in_service.iter().copied().filter(eligible));
         }
+        if job.queue.is_some() {
+            best = self.choose_idle_worker(job, best, eligible, healthy).or(best);
+        }
         best = best.or_else(|| self.choose_tried_worker(job, healthy));
         if self.probes_for_load() {
             // Load of workers in other zones is only known after a probe.
@@ -167,6 +170,21 @@
         best
     }
 
+    /// Picks a worker without own jobs for a job of a queue: `preferred` if it is one, then one that was not tried, then
+    /// another. A queue's jobs are handed out by this dispatcher alone, so such a worker is idle.
+    fn choose_idle_worker(
+        &self,
+        job: &Job,
+        preferred: Option<WorkerId>,
+        untried: impl Fn(&WorkerId) -> bool,
+        healthy: impl Fn(&Worker) -> bool,
+    ) -> Option<WorkerId> {
+        let is_idle = |id: &WorkerId| self.fleet.get(*id).is_some_and(|worker| worker.own_jobs == 0);
+        let idle = self.fleet.in_service.iter().copied().filter(|id| is_idle(id) && untried(id));
+        let preferred = preferred.filter(&is_idle).or_else(|| self.least_loaded(idle));
+        preferred.or_else(|| self.choose_tried_worker(job, |worker| worker.own_jobs == 0 && healthy(worker)))
+    }
+
     /// Picks the worker with the fewest attempts of `job` among those that may get it once more. The longest excluded
     /// one comes first among equals.
     fn choose_tried_worker(&self, job: &Job, healthy: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
