Tests: a Faktory peer that closes its connection shuts it down

Cause: a socket that is dropped stays open while a process that another test starts has a copy of it, between its fork and its exec. `a_fetch_whose_connection_is_closed_already_...` then waits for a close that has not happened yet.

--- a/crates/rookspoke/tests/common/faktory.rs
+++ b/crates/rookspoke/tests/common/faktory.rs
@@ -1,7 +1,7 @@
 //! Stand-in Faktory producers and consumers, which follow the protocol's public specification.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 
 use serde_json::{json, Value};
 
@@ -65,9 +65,11 @@
         let _ = self.from.get_mut().write_all(command.as_bytes());
     }
 
-    /// Sends these last bytes, unchanged, and closes the connection without reading.
+    /// Sends these last bytes, unchanged, and closes the connection without reading. The connection is shut down: to drop
+    /// it alone leaves it open while a process that another test starts still has a copy of the socket.
     pub fn send_and_close(mut self, bytes: &str) {
         self.from.get_mut().write_all(bytes.as_bytes()).expect("sent");
+        self.from.get_ref().shutdown(Shutdown::Both).expect("the connection is shut down");
     }
 
     /// Reads the next reply: a simple line unchanged, a bulk string as text, or `nil` for a null bulk string.
--- a/crates/rookspoke/tests/faktory.rs
+++ b/crates/rookspoke/tests/faktory.rs
@@ -383,13 +383,12 @@
     let mut consumer = fetching_consumer(&daemon, "c-1");
     deliver(&mut Peer::producer(at), &mut consumer, &job("earlier-1", "log-lookup"));
     assert_eq!(consumer.ack("earlier-1"), "+OK");
-    let mut closing = Peer::consumer(at, "c-1");
+    let closing = Peer::consumer(at, "c-1");
     let mut producer = Peer::producer(at);
     producer.send(&format!("PUSH {}", job("job-00000001", "qso-confirm")));
     wait_for("the offer", || (consumer.info()["offered"] == 1).then_some(()));
     daemon.signal("STOP");
-    closing.send("FETCH default");
-    drop(closing);
+    closing.send_and_close("FETCH default\r\n");
     daemon.signal("CONT");
     consumer.send("FETCH default");
     let got = wait_for("the job", || consumer.reply_to_fetch());
