Decisions: failures of one moment eject a log worker once

Cause: each failure of a log worker doubles its ejection, up to 8 s. When many jobs are sent in one moment and its backlog is full, all their connections fail together, and the failures of that one moment count as many in a row. The only log worker was out for 8 s; all jobs waited, and were refused.

Ruled out: that unread answers keep their room (the sound client's first request was refused by the decisions after 5.1 s, and its second was served at once when the ejection was over).

Change: what was sent before an ejection began makes it start anew, and does not make it longer. A failure of something that was sent afterwards doubles it, as before.

--- a/crates/decisions/src/dispatcher.rs
+++ b/crates/decisions/src/dispatcher.rs
@@ -106,13 +106,13 @@
             Event::Outcome(end) => self.on_outcome(end, out),
             Event::ClientGone(id) => self.close(id, out),
             Event::Timer(_) => self.timer_at = self.timer_at.filter(|at| *at > self.now),
-            Event::Probed { worker, outcome, load, .. } => {
+            Event::Probed { worker, outcome, latency, load } => {
                 let id = self.fleet.on_probed(&worker);
                 self.on_report(id, load);
                 // A failed connection shows that the worker is down, and a probe learns it at no job's cost. Other
                 // failed probes show nothing, since a worker rejects probes when too many arrive at a time.
                 if let (Some(id), Outcome::NoConnection) = (id, outcome) {
-                    self.update_health(id, outcome);
+                    self.update_health(id, outcome, self.now - latency);
                 }
             }
             Event::Peer { .. } => {}
--- a/crates/decisions/src/health.rs
+++ b/crates/decisions/src/health.rs
@@ -91,7 +91,7 @@
                 entry.demand.add(now, KEY_DECAY, run_time.secs() * slots);
             }
         }
-        self.update_health(worker_id, end.outcome);
+        self.update_health(worker_id, end.outcome, sent);
         self.fleet.remove_if_idle(worker_id);
         if end.closed {
             self.close(id, out);
@@ -100,9 +100,10 @@
         self.advance(id, out);
     }
 
-    /// Updates a worker's health by the outcome of an attempt or probe. A worker that fails is ejected for a while,
-    /// as otherwise fast errors and dead connections would make it look idle.
-    pub(crate) fn update_health(&mut self, worker_id: WorkerId, outcome: Outcome) {
+    /// Updates a worker's health by the outcome of an attempt or probe that was sent at `sent`. A worker that fails is
+    /// ejected for a while, as otherwise fast errors and dead connections would make it look idle. What was sent before
+    /// the ejection began fails by the same incident, and makes it start anew without making it longer.
+    pub(crate) fn update_health(&mut self, worker_id: WorkerId, outcome: Outcome, sent: Time) {
         let (now, Some(worker)) = (self.now, self.fleet.get_mut(worker_id)) else { return };
         let matches_outcome = |of| f64::from(u8::from(outcome == of));
         worker.count_outcomes(
@@ -116,11 +117,14 @@
             Outcome::TurnedAway => worker.full_until = now + FULL_AFTER_REJECTION,
             Outcome::Cancelled | Outcome::NotSent | Outcome::StaleConnection | Outcome::Unusable => return,
             _ => {
-                let failures = f64::from(worker.consecutive_failures)
+                if worker.ejected_since.is_none_or(|since| sent > since) {
+                    worker.consecutive_failures += 1;
+                    worker.ejected_since = Some(now);
+                }
+                let failures = f64::from(worker.consecutive_failures.saturating_sub(1))
                     .max(worker.error_count(now, ERROR_DECAY) - 1.0)
                     .round() as u32;
                 worker.ejected_until = now + Span(BASE_EJECTION.0 << failures.min(MAX_EJECTION_DOUBLINGS));
-                worker.consecutive_failures += 1;
             }
         }
         if let Outcome::Served | Outcome::TurnedAway = outcome {
--- a/crates/decisions/src/worker.rs
+++ b/crates/decisions/src/worker.rs
@@ -126,6 +126,8 @@
     errors: DecayingSum,
     served: DecayingSum,
     pub ejected_until: Time,
+    /// When the last ejection for a new failure began.
+    pub ejected_since: Option<Time>,
     pub probe_pending: bool,
     /// The last of this dispatcher's turns that was used during the worker's slow start.
     pub last_turn: i64,
@@ -163,6 +165,7 @@
             errors: DecayingSum::default(),
             served: DecayingSum::default(),
             ejected_until: now,
+            ejected_since: None,
             probe_pending: false,
             last_turn: i64::MIN,
         }
@@ -182,7 +185,8 @@
     /// Resets what was learned of the previous process after a restart.
     pub fn restart(&mut self, started: Option<Time>, now: Time) {
         (self.started, self.last_turn, self.consecutive_failures) = (started, i64::MIN, 0);
-        (self.reported_at, self.full_until, self.ejected_until) = (None, now, now);
+        (self.reported_at, self.full_until) = (None, now);
+        (self.ejected_until, self.ejected_since) = (now, None);
         (self.other_slots, self.other_slots_at) = (None, None);
         (self.errors, self.served) = (DecayingSum::default(), DecayingSum::default());
         self.keys.clear();
