Channel: connections to log workers read into 8 KiB, so that large answers fit the memory limit

Cause: the peak comes while hundreds of answers wait for their room in the budget. Each holds the read buffer of its connection, which the HTTP library lets grow to 16 KiB, and the plan counts 16 KiB for the whole connection.

Change: these connections have the library's least read buffer, 8 KiB, and a large line reserves 72 KiB instead of 80. Nothing else is smaller: heads of clients may still have 16 KiB.

--- a/crates/channel/src/connection.rs
+++ b/crates/channel/src/connection.rs
@@ -20,7 +20,7 @@
 
 use super::resolver::ConnectionTask;
 use super::stream::Stream;
-use super::MAX_BUFFER;
+use super::MAX_READ_BUFFER;
 use rookspoke_dispatch::Counters;
 use rookspoke_memory::poll_write_combined;
 
@@ -160,7 +160,7 @@
         let written = Arc::new(WriteProgress { body_len, complete, is_attempt, counters });
         let tracked = TrackedStream { stream, written: written.clone(), position: Position::Head(0) };
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_BUFFER)
+            .max_buf_size(MAX_READ_BUFFER)
             .handshake(TokioIo::new(tracked))
             .await
             .map_err(io::Error::other)?;
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -52,6 +52,9 @@
 /// Upper bound of the buffer of one connection, which holds a message head or a part of a body. It is small
 /// because a thousand connections must fit in memory.
 pub const MAX_BUFFER: usize = 16 * 1024;
+/// Upper bound of the read buffer of a connection to a log worker, which holds the head of an answer or a piece of it: the
+/// least that the HTTP library takes.
+const MAX_READ_BUFFER: usize = 8 * 1024;
 /// Time limit for receiving a request body. A client that stops in the middle of its request must get its
 /// error within 3 s.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
--- a/crates/channel/src/lines.rs
+++ b/crates/channel/src/lines.rs
@@ -8,7 +8,7 @@
 
 use rookspoke_memory::{MemoryBudget, Reservation, SMALL_BYTES};
 
-use super::{MAX_BODY, MAX_BUFFER};
+use super::{MAX_BODY, MAX_READ_BUFFER};
 
 /// Why the rest of a body could not be read.
 #[derive(Debug, Error)]
@@ -49,8 +49,8 @@
     async fn reserve(&mut self) {
         if self.buffer.len() > SMALL_BYTES && self.reservation.bytes() == 0 {
             // Fails only for a reservation that others can reclaim.
-            let _ = self.reservation.grow_soon(MAX_BODY + MAX_BUFFER).await;
-            self.buffer.reserve(MAX_BODY + MAX_BUFFER - self.buffer.len());
+            let _ = self.reservation.grow_soon(MAX_BODY + MAX_READ_BUFFER).await;
+            self.buffer.reserve(MAX_BODY + MAX_READ_BUFFER - self.buffer.len());
         }
     }
 
