Test, red: a confirmation runs again when its id comes again at the new process of an upgrade

Cause: the ids of confirmations that may have run are in the memory of one process.

The two tests share their log worker and the client that leaves; the first one's checks are as they were.

--- a/crates/rookspoke/tests/leaving.rs
+++ b/crates/rookspoke/tests/leaving.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,24 +165,49 @@
     assert_eq!((next.status, worker.count()), (200, 6));
 }
 
-/// Guards against a second run: the client of a confirmation leaves while a log worker runs it, and its id comes again.
-#[test]
-fn a_confirmation_does_not_run_again_when_its_id_comes_again_after_its_client_left() {
+/// A log worker that runs its first job until the dispatcher closes the connection, and serves any further one.
+fn worker_that_runs_its_first_job() -> Worker {
     let ran_before = AtomicBool::new(false);
-    let worker = Worker::start("w-1", move |request, to| {
+    Worker::start("w-1", move |request, to| {
         if ran_before.swap(true, Ordering::SeqCst) {
             serve(request, to, "again");
             return true;
         }
         send_objects(to, &[state_report(request, "started")], false);
         !is_closed(to)
-    });
-    let daemon = Daemon::start_ready(&Discovery::listing(&[&worker]));
-    let job = job_request("qso-confirm", "00000000000000aa", 20_000, "");
-    let leaving = send(daemon.address("http"), &job);
+    })
+}
+
+/// Sends a confirmation to a daemon, and leaves while the log worker runs it.
+fn leave_during_confirmation(to: SocketAddr, daemon: &Daemon, worker: &Worker, confirmation: &[u8]) {
+    let leaving = send(to, confirmation);
     wait_for("the attempt", || (worker.count() == 1).then_some(()));
     drop(leaving);
     daemon.wait_counters("http", &["client_gone=1", "cancelled=1"]);
-    let answer = exchange(daemon.address("http"), &job);
+}
+
+/// Guards against a second run: the client of a confirmation leaves while a log worker runs it, and its id comes again.
+#[test]
+fn a_confirmation_does_not_run_again_when_its_id_comes_again_after_its_client_left() {
+    let worker = worker_that_runs_its_first_job();
+    let daemon = Daemon::start_ready(&Discovery::listing(&[&worker]));
+    let confirmation = job_request("qso-confirm", "00000000000000aa", 20_000, "");
+    leave_during_confirmation(daemon.address("http"), &daemon, &worker, &confirmation);
+    let answer = exchange(daemon.address("http"), &confirmation);
+    assert_eq!((worker.count(), answer.status == 200), (1, false), "the confirmation ran again");
+}
+
+/// Guards against the same at an upgrade: the id comes again at the new process.
+#[test]
+fn a_confirmation_does_not_run_again_when_its_id_comes_again_at_the_other_process_of_an_upgrade() {
+    let worker = worker_that_runs_its_first_job();
+    let host = DispatcherHost::new(platform_config(Discovery::listing(&[&worker]).address));
+    let mut old = host.start_ready();
+    let confirmation = job_request("qso-confirm", "00000000000000aa", 20_000, "");
+    leave_during_confirmation(host.client_address(), &old, &worker, &confirmation);
+    let _new = host.start_ready();
+    old.signal("TERM");
+    old.wait_exit();
+    let answer = exchange(host.client_address(), &confirmation);
     assert_eq!((worker.count(), answer.status == 200), (1, false), "the confirmation ran again");
 }
