State: the processes of an upgrade share the ids of confirmations that may have run

Cause: the ids were in the memory of one process.

Ruled out: to hand them over at SIGTERM. The new process serves before the old one is told to end, and the client may leave the old one afterwards.

With an inherited listener and a folder for state, a process appends a line before it writes a confirmation, and one more if that turned out not to have run; before it takes one it reads what was added. A file that fails stops no request: it is sent, with a warning.

--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -19,6 +19,8 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
+use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -37,7 +39,7 @@
 use fleet::{Fleet, SubchannelTransport};
 use membership::discover;
 use request::{BadRequest, Facts, RequestHead};
-use request_ids::{OpenRequest, RequestIds, RequestState};
+use request_ids::{OpenRequest, RequestIds};
 use resolver::Command;
 use rookspoke_config::{Config, ListSource};
 use rookspoke_decisions::{AttemptUpdate, Ban, ClassId, Effect, RequestId, SettingsError, Span, Time};
@@ -265,6 +267,15 @@
         }
     }
 
+    /// Shares the ids of requests that must not run twice with the other processes of the dispatcher, through files in
+    /// this directory. Such an id is known there while clients may send it again.
+    ///
+    /// # Errors
+    /// The files cannot be opened.
+    pub fn share_ids_in(&self, directory: &Path) -> io::Result<()> {
+        self.request_ids.share_in(directory)
+    }
+
     /// Applies the time limits of a shutdown to requests that arrive from now on.
     pub fn begin_shutdown(&self, limits: ShutdownLimits) {
         self.shutdown.send_replace(Some(limits));
@@ -342,8 +353,7 @@
         let body = if grpc::is_call(&parts.headers) { grpc::unframe(body)? } else { body };
         let effect = self.effects[class.0];
         let at_most_once = effect == Effect::Unsafe;
-        let state = Arc::<RequestState>::default();
-        let open = self.request_ids.open(&id, at_most_once, state.clone())?;
+        let open = self.request_ids.open(&id, at_most_once)?;
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
         let class_name = self.vocabulary.classes[class.0].as_ref();
@@ -354,8 +364,16 @@
             None
         };
         let method = parts.method;
-        let call =
-            Arc::new(Call { method, uri, headers, id, body, at_most_once, state, _reservation: reservation });
+        let call = Arc::new(Call {
+            method,
+            uri,
+            headers,
+            id,
+            body,
+            at_most_once,
+            state: open.state().clone(),
+            _reservation: reservation,
+        });
         let Facts { slots, memory } = facts;
         Ok((
             Submission {
--- a/crates/channel/src/request_ids/tests.rs
+++ b/crates/channel/src/request_ids/tests.rs
@@ -6,19 +6,17 @@
 
 /// Opens a request and ends it after one attempt.
 fn run(ids: &RequestIds, number: usize, at_most_once: bool) {
-    let state = Arc::<RequestState>::default();
-    let _open =
-        ids.open(&id(number), at_most_once, state.clone()).unwrap_or_else(|e| panic!("{number}: {e}"));
-    assert!(state.begin_send());
+    let open = ids.open(&id(number), at_most_once).unwrap_or_else(|e| panic!("{number}: {e}"));
+    assert!(open.state().begin_send());
 }
 
 #[test]
 fn an_id_whose_request_never_ran_may_come_again() {
     let ids = RequestIds::default();
     for _ in 0..3 {
-        let state = Arc::<RequestState>::default();
-        let open = ids.open(&id(1), true, state.clone()).unwrap_or_else(|e| panic!("{e}"));
-        assert!(matches!(ids.open(&id(1), true, Arc::default()), Err(BadRequest::DuplicateId)));
+        let open = ids.open(&id(1), true).unwrap_or_else(|e| panic!("{e}"));
+        let state = open.state().clone();
+        assert!(matches!(ids.open(&id(1), true), Err(BadRequest::DuplicateId)));
         assert!(state.begin_send());
         state.attempt_never_ran();
         drop(open);
@@ -26,7 +24,7 @@
     }
     run(&ids, 1, false);
     run(&ids, 1, true);
-    assert!(matches!(ids.open(&id(1), true, Arc::default()), Err(BadRequest::MayHaveRun)));
+    assert!(matches!(ids.open(&id(1), true), Err(BadRequest::MayHaveRun)));
 }
 
 #[test]
@@ -35,8 +33,26 @@
     for number in 0..MAX_REMEMBERED + 10 {
         run(&ids, number, true);
     }
-    let is_known = |number: &usize| ids.open(&id(*number), true, Arc::default()).is_err();
+    let is_known = |number: &usize| ids.open(&id(*number), true).is_err();
     assert_eq!((0..MAX_REMEMBERED + 10).filter(is_known).count(), MAX_REMEMBERED);
     assert!(!is_known(&9) && is_known(&10));
     assert_eq!(ids.lock().order.len(), MAX_REMEMBERED);
 }
+
+/// What one process sends is known to the other, and that it did not run, too.
+#[test]
+fn processes_that_share_a_directory_know_each_others_ids() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let [old, new] = [RequestIds::default(), RequestIds::default()];
+    [&old, &new].iter().for_each(|ids| ids.share_in(directory.path()).expect("shared"));
+    let turned_away = old.open(&id(1), true).unwrap_or_else(|e| panic!("{e}"));
+    assert!(turned_away.state().begin_send());
+    assert!(matches!(new.open(&id(1), true), Err(BadRequest::MayHaveRun)));
+    turned_away.state().attempt_never_ran();
+    drop(turned_away);
+    run(&new, 1, true);
+    assert!(matches!(old.open(&id(1), true), Err(BadRequest::MayHaveRun)));
+    let restarted = RequestIds::default();
+    restarted.share_in(directory.path()).expect("shared");
+    assert!(matches!(restarted.open(&id(1), true), Err(BadRequest::MayHaveRun)));
+}
--- a/crates/rookspoke/src/daemon.rs
+++ b/crates/rookspoke/src/daemon.rs
@@ -112,6 +112,9 @@
         let front = Front::new(server_state.clone(), client_limit, self.longest_deadline.subscribe());
         // An inherited listener is used for upgrades under load, where two processes run at the same time.
         if let (Some(_), Some(folder)) = (config.accept_fd, &config.state) {
+            if let Err(error) = channel.share_ids_in(folder) {
+                tracing::warn!("{}: cannot share the ids of requests: {error}", folder.display());
+            }
             let share = ProcessShare::acquire(folder, front.limit().clone(), config.limits.sockets);
             if let Some(mut share) = share {
                 share.update(&server_state);
