Decisions: a keyed request that failed at all of its rack's workers fails at once, as before

The only log worker of a rack broke the connection of a keyed request; the request was repeated there until its window of 3 s was over, and its client heard of the failure 3 s late.

A worker that failed a request may get it again after a while, so `advance` found one that "may take" it and waited. Before, it failed at once, and its client's new try, with the same key, is bound to the rack.

Change: a request that its class binds to certain workers waits for one of them only if it may not have run there. One that was turned away there is still waited for. Accepted jobs are as they were: nobody would hear of their failure.

The test of `deployment.rs` passes unchanged.

--- a/crates/decisions/src/admission.rs
+++ b/crates/decisions/src/admission.rs
@@ -64,9 +64,10 @@
         let late = refusable && class.late_worth == 0.0 && self.now >= self.latest_start(job);
         let repeat_deadline = job.repeat_deadline(class.effect, MAX_TRANSIT);
         let repeat_over = repeat_deadline.is_some_and(|at| at <= self.now + self.settings.quantum);
-        // A job that may only be repeated on certain workers waits for one only while one is in service, or if it is
-        // accepted.
-        let may_take = |id: &WorkerId| job.tried.may_get(*id) && self.may_repeat(job, *id);
+        // A job that may only be repeated on certain workers waits for one only while one is in service that has not
+        // failed it, or if it is accepted: otherwise its client tries again itself, with the same key.
+        let may_take =
+            |id: &WorkerId| job.tried.may_get(*id) && !job.may_have_run_at(*id) && self.may_repeat(job, *id);
         let restricted = class.effect != Effect::Safe && job.may_have_run();
         let may_wait = job.accepted && class.effect != Effect::Unsafe;
         let no_repeat = repeat_over || restricted && !may_wait && !self.fleet.in_service.iter().any(may_take);
--- a/crates/decisions/src/requests.rs
+++ b/crates/decisions/src/requests.rs
@@ -121,6 +121,10 @@
     pub fn may_have_run(&self) -> bool {
         self.possible_runs().next().is_some()
     }
+    /// Whether one of its attempts may have run at this worker.
+    pub fn may_have_run_at(&self, worker: WorkerId) -> bool {
+        self.attempts.iter().any(|a| a.worker == worker && a.state != AttemptState::NeverRan)
+    }
     /// Until when a repeat may be sent that arrives within `transit` and is still discarded by workers. None if the
     /// class is not keyed or no attempt may have run.
     pub fn repeat_deadline(&self, effect: Effect, transit: Span) -> Option<Time> {
