Emulator: connections to an earlier process of a machine are not subtracted from the new one's

Cause: a machine that stops forgets its connections, while dispatchers keep idle ones to a silent machine, or get one back from an attempt that crossed a restart. When such a connection is dropped, the machine's count falls below zero; a release build wraps around and refuses every connection from then on. One of three places was guarded.

Change: `Machine::close_connections` in all three places, down to none.

--- a/crates/emulator/src/model/fleet.rs
+++ b/crates/emulator/src/model/fleet.rs
@@ -42,6 +42,11 @@
             rng,
         }
     }
+
+    /// Closes connections. Those to an earlier process are not counted any more, so there may be fewer.
+    pub fn close_connections(&mut self, count: usize) {
+        self.connections = self.connections.saturating_sub(count);
+    }
 }
 
 /// State of a dispatcher's host: events that wait for the policy, timers, connections and the discovery watch.
--- a/crates/emulator/src/model/mod.rs
+++ b/crates/emulator/src/model/mod.rs
@@ -675,7 +675,7 @@
                         .idle_connections
                         .remove(&worker)
                         .map_or(0, |idle| idle.len());
-                    self.machines[worker].connections -= closed;
+                    self.machines[worker].close_connections(closed);
                 }
             }
             Action::SendToPeer { .. } | Action::Log(_) => {}
@@ -750,7 +750,7 @@
         // The log worker closes connections after the idle timeout, and the dispatcher notices.
         let before = idle.len();
         idle.retain(|(since, _)| now - *since < idle_timeout);
-        machine.connections -= before - idle.len();
+        machine.close_connections(before - idle.len());
         if idle.pop().is_some() {
             return self.schedule_after(delay, SimEvent::AttemptArrives(attempt));
         }
@@ -911,7 +911,7 @@
             if let Outcome::Served | Outcome::TurnedAway | Outcome::Error = outcome {
                 self.dispatchers[dispatcher].idle_connections.entry(worker).or_default().push((now, epoch));
             } else if outcome != Outcome::NoConnection {
-                machine.connections = machine.connections.saturating_sub(1);
+                machine.close_connections(1);
             }
         }
         if let Outcome::ConnectionLost | Outcome::NoConnection = outcome {
